--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+BUILD ?= build
+JOBS ?= $(shell nproc)
+CPP_FILES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
+TIDY_FILES = $(filter %.cpp,$(CPP_FILES))
+
+.PHONY: deps build test run bench asan tsan format format-check lint proto
+
+deps:
+	.ci/install
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+run: build
+	$(BUILD)/parsleypitch-bench up --fleet bench/fleets/cymdeithas.toml --seconds 15
+	$(BUILD)/parsleypitch-bench up --fleet bench/fleets/tanzania.toml --seconds 15
+
+asan: deps
+	cmake -S . -B build-asan -G Ninja -DPARSLEYPITCH_SANITIZER=address
+	cmake --build build-asan -j $(JOBS)
+	ctest --test-dir build-asan --output-on-failure -j 4
+
+tsan: deps
+	cmake -S . -B build-tsan -G Ninja -DPARSLEYPITCH_SANITIZER=thread
+	cmake --build build-tsan -j $(JOBS)
+	ctest --test-dir build-tsan --output-on-failure -j 4
+
+format:
+	clang-format -i $(CPP_FILES)
+
+format-check:
+	clang-format --dry-run --Werror $(CPP_FILES)
+
+lint: build
+	printf '%s\n' $(TIDY_FILES) | xargs -P $(JOBS) -n 1 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+
+# Regenerates the committed protobuf code after a change of proto/parsleypitch.proto.
+proto: deps
+	protoc -I proto --cpp_out=generated --grpc_out=generated \
+	  --plugin=protoc-gen-grpc=$(shell command -v grpc_cpp_plugin) proto/parsleypitch.proto
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 2;
+}
--- /dev/null
+++ b/include/parsleypitch/core/ids.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <parsleypitch/core/strong_type.hpp>
+
+namespace parsleypitch {
+
+using request_id = string_id<struct request_id_tag>;
+using caller_id = string_id<struct caller_id_tag>;
+using model_id = string_id<struct model_id_tag>;
+using model_version = string_id<struct model_version_tag>;
+using adapter_id = string_id<struct adapter_id_tag>;
+using plain_service_id = string_id<struct plain_service_id_tag>;
+using operation_id = string_id<struct operation_id_tag>;
+using backend_server_id = string_id<struct backend_server_id_tag>;
+using entry_host_id = string_id<struct entry_host_id_tag>;
+using availability_zone_id = string_id<struct availability_zone_id_tag>;
+using idempotency_key = string_id<struct idempotency_key_tag>;
+using environment_name = string_id<struct environment_name_tag>;
+using object_key = string_id<struct object_key_tag>;
+/// @brief `address:port` of an endpoint; the address is an IP number.
+using endpoint = string_id<struct endpoint_tag>;
+/// @brief Identifies one conditional write, so that its writer recognises it after a lost answer.
+using write_id = string_id<struct write_id_tag>;
+
+/// @brief Distinguishes successive processes in the same slot; greater is later.
+using incarnation = number_id<struct incarnation_tag>;
+/// @brief Number of a lease term; an order with a lower one than the highest seen is stale.
+using fencing_number = number_id<struct fencing_number_tag>;
+using config_version = number_id<struct config_version_tag>;
+/// @brief Version of an object in the platform's object API; 0 means that the object does not exist.
+using object_version = number_id<struct object_version_tag>;
+/// @brief Number of an attempt at one request; the first attempt is 1.
+using attempt_number = number_id<struct attempt_number_tag>;
+/// @brief Position of a token in the answer to a request; the first token is 0.
+using token_index = number_id<struct token_index_tag>;
+
+} // namespace parsleypitch
--- /dev/null
+++ b/include/parsleypitch/core/types.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace parsleypitch {
+
+/// @brief Rank of work, most urgent first.
+enum class rank { urgent, normal, bulk };
+
+inline constexpr std::size_t rank_count = 3;
+inline constexpr std::array<rank, rank_count> all_ranks = {rank::urgent, rank::normal, rank::bulk};
+
+/// @brief What is known about whether a request ran.
+enum class run_state { not_run, ran, outcome_unknown };
+
+/// @brief Part of the work that an engine accepts.
+enum class engine_role { mixed, prefill, decode };
+
+[[nodiscard]] constexpr std::size_t index_of(rank r) noexcept {
+    return static_cast<std::size_t>(r);
+}
+
+[[nodiscard]] std::string_view to_string(rank r) noexcept;
+[[nodiscard]] std::string_view to_string(run_state s) noexcept;
+[[nodiscard]] std::string_view to_string(engine_role r) noexcept;
+
+/// @brief Parses a rank by its name.
+/// @return nothing if the text names no rank
+[[nodiscard]] std::optional<rank> parse_rank(std::string_view text) noexcept;
+/// @brief Parses an engine role by its name.
+/// @return nothing if the text names no role
+[[nodiscard]] std::optional<engine_role> parse_engine_role(std::string_view text) noexcept;
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/core/hooks.cpp
@@ -0,0 +1,31 @@
+#include <parsleypitch/core/hooks.hpp>
+
+#include <memory>
+#include <mutex>
+#include <random>
+
+namespace parsleypitch {
+
+clock_hook steady_clock_hook() {
+    return [] { return std::chrono::steady_clock::now(); };
+}
+
+random_hook seeded_random_hook(std::uint64_t seed) {
+    struct generator {
+        std::mutex mutex;
+        std::mt19937_64 engine;
+    };
+    auto shared = std::make_shared<generator>();
+    shared->engine.seed(seed);
+    return [shared](std::uint64_t bound) {
+        const std::lock_guard lock(shared->mutex);
+        return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(shared->engine);
+    };
+}
+
+std::uint64_t random_seed() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/standins/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace parsleypitch::standins {}
