--- a/include/parsleypitch/core/result.hpp
+++ b/include/parsleypitch/core/result.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/error.hpp>
 
 #include <boost/outcome/result.hpp>
+#include <boost/outcome/try.hpp>
 
 #include <utility>
 
--- a/include/parsleypitch/kernel/kernel.hpp
+++ b/include/parsleypitch/kernel/kernel.hpp
@@ -28,7 +28,7 @@
     virtual ~service() = default;
 
     [[nodiscard]] virtual service_name name() const = 0;
-    /// @brief Starts the service; services that it needs were added before it.
+    /// @brief Starts the service; all services of the process are registered by then.
     [[nodiscard]] virtual result<void> start(kernel& host) = 0;
     /// @brief Takes no new work and returns when the work at hand is complete.
     virtual void drain() {}
--- /dev/null
+++ b/include/parsleypitch/streams/execute.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/result.hpp>
+#include <parsleypitch/core/types.hpp>
+#include <parsleypitch/core/units.hpp>
+#include <parsleypitch/membership/member.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace parsleypitch {
+
+/// @brief A generation on a model engine.
+struct generate_work {
+    model_id model;
+    model_version version;
+    adapter_id adapter;
+    std::string prompt;
+    token_count prompt_tokens;
+    token_count max_tokens;
+    /// @brief First token that the caller still needs.
+    token_index resume_from;
+    /// @brief Text of the tokens before `resume_from`.
+    std::string resumed_text;
+    /// @brief Engine that holds the KV cache of the prompt; empty if none.
+    endpoint kv_source;
+    /// @brief Compute the prompt and one token only, and keep the KV cache for export.
+    bool prefill_only = false;
+};
+
+/// @brief A call to a plain service.
+struct call_work {
+    plain_service_id plain_service;
+    operation_id operation;
+    std::string body;
+    std::string content_type;
+    idempotency_key key;
+    bool repeatable = true;
+};
+
+/// @brief One attempt at a request, as sent to an agent.
+struct execute_request {
+    request_id id;
+    attempt_number attempt{1};
+    rank priority = rank::normal;
+    caller_id caller;
+    /// @brief Time left until the answer is of no use to the caller.
+    milliseconds deadline{0};
+    std::variant<generate_work, call_work> work;
+};
+
+/// @brief One token of an answer.
+struct token_event {
+    token_index index;
+    std::string text;
+};
+
+/// @brief The whole answer of a plain service.
+struct plain_answer {
+    unsigned status = 200;
+    std::string content_type;
+    std::string body;
+};
+
+/// @brief The end of a generation.
+struct generation_end {
+    token_count tokens;
+    token_count cached_prompt_tokens;
+    endpoint kv_source;
+};
+
+/// @brief A typed refusal or failure and whether the request ran.
+struct refusal {
+    error why;
+    run_state ran = run_state::not_run;
+    milliseconds retry_after{0};
+};
+
+/// @brief One event of the answer to an attempt.
+struct execute_event {
+    request_id id;
+    attempt_number attempt;
+    std::variant<token_event, plain_answer, generation_end, refusal> event;
+    std::optional<load_report> load;
+};
+
+/// @brief An open attempt. `next` blocks; an error means that the stream broke without a typed refusal.
+struct execute_stream {
+    std::function<result<execute_event>()> next;
+    std::function<void()> cancel;
+};
+
+/// @brief Opens an attempt at the agent that listens at an endpoint.
+using execute_hook = std::function<execute_stream(const endpoint&, const execute_request&)>;
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/agent/agent_server.cpp
@@ -0,0 +1,86 @@
+#include "agent/agent_services.hpp"
+#include "wire/convert.hpp"
+
+#include <glog/logging.h>
+
+namespace parsleypitch::detail {
+
+namespace {
+
+// Threads beyond slots and queue serve orders and refusals.
+constexpr std::int64_t spare_threads = 32;
+
+} // namespace
+
+agent_server::agent_server(const agent_settings& settings, backend_hooks backend,
+                           std::shared_ptr<work_gate> gate)
+    : m_settings(settings), m_backend(std::move(backend)), m_gate(std::move(gate)) {
+}
+
+result<void> agent_server::start(kernel& host) {
+    BOOST_OUTCOME_TRY(monitor, host.find<backend_monitor>(service_name("backend_monitor")));
+    BOOST_OUTCOME_TRY(metrics, host.find<metrics_registry>(metrics_service_name()));
+    const auto threads = m_settings.slots.value() + m_settings.queue_limit.value() + spare_threads;
+    m_monitor = std::move(monitor);
+    m_metrics = std::move(metrics);
+    BOOST_OUTCOME_TRY(server, net::start_grpc_server(m_settings.listen, *this, static_cast<int>(threads)));
+    m_server = std::move(server);
+    return success();
+}
+
+void agent_server::drain() {
+    m_gate->drain();
+}
+
+void agent_server::stop() {
+    m_server->Shutdown(std::chrono::system_clock::now() + seconds(1));
+}
+
+grpc::Status agent_server::Execute(grpc::ServerContext* context, const v1::ExecuteRequest* request,
+                                   grpc::ServerWriter<v1::ExecuteEvent>* writer) {
+    const execute_request work = wire::from_wire(*request);
+    const event_sink emit = [&](const execute_event& event) {
+        execute_event with_load = event;
+        if (!std::holds_alternative<token_event>(event.event)) {
+            with_load.load = m_monitor->load();
+        }
+        return !context->IsCancelled() &&
+               writer->Write(wire::to_wire(with_load, std::chrono::steady_clock::now()));
+    };
+    run(work, emit);
+    return grpc::Status::OK;
+}
+
+void agent_server::run(const execute_request& request, const event_sink& emit) {
+    const auto snapshot = m_monitor->snapshot();
+    if (!snapshot->reachable) {
+        refuse(request, emit, fail(errc::backend_unreachable, m_settings.backend.str()));
+        return;
+    }
+    if (snapshot->status.engine.changing) {
+        refuse(request, emit, fail(errc::backend_refused, "an order is in progress"));
+        return;
+    }
+    if (const auto entered = m_gate->enter(request); !entered) {
+        refuse(request, emit, entered.error());
+        return;
+    }
+    const time_point started = std::chrono::steady_clock::now();
+    m_backend.run(request, [&](const execute_event& event) {
+        const auto* refused = std::get_if<refusal>(&event.event);
+        if (refused != nullptr) {
+            m_metrics->count(metric_name("parsleypitch_backend_failures_total"),
+                             {{"reason", reason_name(refused->why.code)}});
+            m_monitor->poll_soon();
+        }
+        return emit(event);
+    });
+    m_gate->leave(std::chrono::steady_clock::now() - started);
+}
+
+void agent_server::refuse(const execute_request& request, const event_sink& emit, const error& why) {
+    m_metrics->count(metric_name("parsleypitch_refusals_total"), {{"reason", reason_name(why.code)}});
+    (void)emit({request.id, request.attempt, refusal{why, run_state::not_run, milliseconds(100)}, {}});
+}
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/agent/agent_services.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "membership/heartbeat_sender.hpp"
+#include "net/grpc_server.hpp"
+#include "parsleypitch.grpc.pb.h"
+
+#include <parsleypitch/agent/backend.hpp>
+#include <parsleypitch/agent/work_gate.hpp>
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/membership/table.hpp>
+#include <parsleypitch/metrics/metrics.hpp>
+#include <parsleypitch/settings/settings.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace parsleypitch::detail {
+
+/// @brief What traffic threads read about the backend server.
+struct backend_snapshot {
+    backend_status status;
+    bool reachable = false;
+};
+
+/// @brief Polls the backend server and tells the entry hosts about it; kernel service "backend_monitor".
+class backend_monitor final : public service {
+  public:
+    backend_monitor(const agent_settings& settings, backend_hooks backend, std::shared_ptr<work_gate> gate,
+                    incarnation born);
+
+    [[nodiscard]] service_name name() const override { return service_name("backend_monitor"); }
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void drain() override;
+    void stop() override;
+
+    [[nodiscard]] std::shared_ptr<const backend_snapshot> snapshot() const { return m_snapshot.load(); }
+    /// @brief Load as the agent sees it, with the engine's own memory figures.
+    [[nodiscard]] load_report load() const;
+    /// @brief Polls now; called after a failed call to the backend server.
+    void poll_soon();
+
+  private:
+    void poll();
+    void take(const result<backend_status>& polled);
+    void send_heartbeats();
+    [[nodiscard]] member record() const;
+
+    agent_settings m_settings;
+    backend_hooks m_backend;
+    std::shared_ptr<work_gate> m_gate;
+    incarnation m_born;
+    kernel* m_kernel = nullptr;
+    entry_directory m_directory;
+    std::unique_ptr<heartbeat_sender> m_sender;
+    std::atomic<std::shared_ptr<const backend_snapshot>> m_snapshot;
+    std::atomic<bool> m_polling = false;
+    bool m_leaving = false;
+};
+
+/// @brief gRPC front end of the agent; kernel service "agent_server".
+class agent_server final : public service, private v1::Agent::Service {
+  public:
+    agent_server(const agent_settings& settings, backend_hooks backend, std::shared_ptr<work_gate> gate);
+
+    [[nodiscard]] service_name name() const override { return service_name("agent_server"); }
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void drain() override;
+    void stop() override;
+
+  private:
+    grpc::Status Execute(grpc::ServerContext* context, const v1::ExecuteRequest* request,
+                         grpc::ServerWriter<v1::ExecuteEvent>* writer) override;
+    void run(const execute_request& request, const event_sink& emit);
+    void refuse(const execute_request& request, const event_sink& emit, const error& why);
+
+    agent_settings m_settings;
+    backend_hooks m_backend;
+    std::shared_ptr<work_gate> m_gate;
+    std::shared_ptr<backend_monitor> m_monitor;
+    std::shared_ptr<metrics_registry> m_metrics;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/agent/backend_monitor.cpp
@@ -0,0 +1,125 @@
+#include "agent/agent_services.hpp"
+#include "wire/convert.hpp"
+
+#include <glog/logging.h>
+
+#include <future>
+
+namespace parsleypitch::detail {
+
+namespace {
+
+// A crashed backend server is known within one period, well inside the 1 s bound for retries elsewhere.
+constexpr milliseconds poll_period{250};
+
+} // namespace
+
+backend_monitor::backend_monitor(const agent_settings& settings, backend_hooks backend,
+                                 std::shared_ptr<work_gate> gate, incarnation born)
+    : m_settings(settings), m_backend(std::move(backend)), m_gate(std::move(gate)), m_born(born),
+      m_directory(settings.zone, settings.seeds, std::chrono::steady_clock::now()),
+      m_snapshot(std::make_shared<const backend_snapshot>()) {
+}
+
+result<void> backend_monitor::start(kernel& host) {
+    m_kernel = &host;
+    m_sender = std::make_unique<heartbeat_sender>(
+        host,
+        [this](const endpoint& from, const v1::HeartbeatReply& reply) {
+            const time_point now = std::chrono::steady_clock::now();
+            for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
+                m_directory.learn(
+                    {entry_host_id(each.id()), availability_zone_id(each.zone()), endpoint(each.address())},
+                    now);
+            }
+            m_directory.answered(from, now);
+        },
+        [](const endpoint&) {});
+    host.every(poll_period, [this] { poll(); });
+    host.every(heartbeat_period, [this] { send_heartbeats(); });
+    return success();
+}
+
+void backend_monitor::poll_soon() {
+    m_kernel->post_control([this] { poll(); });
+}
+
+void backend_monitor::poll() {
+    if (m_polling.exchange(true)) {
+        return;
+    }
+    m_kernel->post_worker([this] {
+        auto polled = m_backend.poll();
+        m_kernel->post_control([this, polled = std::move(polled)] {
+            m_polling = false;
+            take(polled);
+        });
+    });
+}
+
+void backend_monitor::take(const result<backend_status>& polled) {
+    const auto before = m_snapshot.load();
+    auto next = std::make_shared<backend_snapshot>(*before);
+    next->reachable = polled.has_value();
+    if (polled) {
+        next->status = polled.value();
+    }
+    const bool changed = before->reachable != next->reachable || before->status.engine != next->status.engine;
+    m_snapshot.store(next);
+    if (changed) {
+        LOG(INFO) << "monitor: backend server is " << (next->reachable ? "reachable" : "unreachable");
+        send_heartbeats();
+    }
+}
+
+load_report backend_monitor::load() const {
+    load_report load = m_gate->report();
+    const auto snapshot = m_snapshot.load();
+    load.kv_blocks_used = snapshot->status.load.kv_blocks_used;
+    load.kv_blocks_total = snapshot->status.load.kv_blocks_total;
+    return load;
+}
+
+member backend_monitor::record() const {
+    const auto snapshot = m_snapshot.load();
+    member record;
+    record.id = m_settings.id.str();
+    record.kind = m_settings.kind;
+    record.zone = m_settings.zone;
+    record.address = m_settings.listen;
+    record.backend_address = m_settings.backend;
+    record.born = m_born;
+    record.health = m_leaving             ? member_health::leaving
+                    : snapshot->reachable ? member_health::live
+                                          : member_health::suspect;
+    record.load = load();
+    record.engine = snapshot->status.engine;
+    record.plain_service = m_settings.plain_service;
+    return record;
+}
+
+void backend_monitor::send_heartbeats() {
+    const time_point now = std::chrono::steady_clock::now();
+    m_directory.sweep(now);
+    v1::HeartbeatRequest request;
+    *request.mutable_sender() = wire::to_wire(record(), now);
+    for (const endpoint& target : m_directory.targets_of_agent(now)) {
+        m_sender->send(target, request);
+    }
+}
+
+void backend_monitor::drain() {
+    std::promise<void> told;
+    m_kernel->post_control([this, &told] {
+        m_leaving = true;
+        send_heartbeats();
+        told.set_value();
+    });
+    told.get_future().wait();
+}
+
+void backend_monitor::stop() {
+    m_sender->stop();
+}
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/agent/engine_backend.cpp
@@ -0,0 +1,256 @@
+#include "net/http_pool.hpp"
+
+#include <parsleypitch/agent/backend.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace parsleypitch {
+
+namespace detail {
+
+using nlohmann::json;
+
+constexpr int status_accepted = 202;
+constexpr int status_bad_request = 400;
+constexpr int status_conflict = 409;
+constexpr int status_locked = 423;
+constexpr int status_too_many = 429;
+
+engine_state parse_engine_state(const json& body) {
+    engine_state state;
+    state.role = parse_engine_role(body.at("role").get<std::string>()).value_or(engine_role::mixed);
+    state.model = model_id(body.at("model").get<std::string>());
+    state.version = model_version(body.at("version").get<std::string>());
+    for (const json& adapter : body.at("adapters")) {
+        state.adapters.emplace_back(adapter.get<std::string>());
+    }
+    state.changing = body.at("changing").get<bool>();
+    return state;
+}
+
+json generate_body(const execute_request& request, const generate_work& work) {
+    return {{"request_id", request.id.str()},
+            {"attempt", request.attempt.value()},
+            {"model", work.model.str()},
+            {"version", work.version.str()},
+            {"adapter", work.adapter.str()},
+            {"prompt", work.prompt},
+            {"prompt_tokens", work.prompt_tokens.value()},
+            {"max_tokens", work.max_tokens.value()},
+            {"priority", index_of(request.priority)},
+            {"resume_from", work.resume_from.value()},
+            {"resumed_text", work.resumed_text},
+            {"kv_source", work.kv_source.str()},
+            {"prefill_only", work.prefill_only}};
+}
+
+/// Reads the engine's lines, passes on those of this attempt, and remembers how the stream ended.
+class generate_reader {
+  public:
+    generate_reader(const execute_request& request, const event_sink& emit, endpoint engine)
+        : m_request(request), m_emit(emit), m_engine(std::move(engine)) {}
+
+    /// @return false if reading should stop
+    bool take(const char* data, std::size_t size) {
+        m_buffer.append(data, size);
+        if (m_status != 200) {
+            return true;
+        }
+        std::size_t start = 0;
+        for (std::size_t end = m_buffer.find('\n'); end != std::string::npos;
+             end = m_buffer.find('\n', start)) {
+            if (!take_line(m_buffer.substr(start, end - start))) {
+                return false;
+            }
+            start = end + 1;
+        }
+        m_buffer.erase(0, start);
+        return true;
+    }
+
+    void set_status(int status) { m_status = status; }
+    [[nodiscard]] int status() const { return m_status; }
+    [[nodiscard]] bool done() const { return m_done; }
+    [[nodiscard]] bool caller_gone() const { return m_caller_gone; }
+    [[nodiscard]] const std::string& rest() const { return m_buffer; }
+
+  private:
+    bool take_line(const std::string& line) {
+        const json parsed = json::parse(line, nullptr, false);
+        if (parsed.is_discarded() || !parsed.is_object()) {
+            return false;
+        }
+        // A line of another request or attempt is never passed on; the entry host would take it for a fault.
+        if (parsed.value("request_id", "") != m_request.id.str() ||
+            parsed.value("attempt", std::uint64_t{0}) != m_request.attempt.value()) {
+            return true;
+        }
+        execute_event event{m_request.id, m_request.attempt, {}, {}};
+        if (parsed.value("done", false)) {
+            m_done = true;
+            event.event =
+                generation_end{token_count(parsed.value("tokens", std::int64_t{0})),
+                               token_count(parsed.value("cached_prompt_tokens", std::int64_t{0})), m_engine};
+        } else {
+            event.event =
+                token_event{token_index(parsed.value("index", std::uint64_t{0})), parsed.value("text", "")};
+        }
+        if (!m_emit(event)) {
+            m_caller_gone = true;
+            return false;
+        }
+        return !m_done;
+    }
+
+    const execute_request& m_request;
+    const event_sink& m_emit;
+    endpoint m_engine;
+    std::string m_buffer;
+    int m_status = 0;
+    bool m_done = false;
+    bool m_caller_gone = false;
+};
+
+/// The refusal that an HTTP status of the engine stands for; with each of them the request did not run.
+refusal refusal_of_status(int status, const std::string& body) {
+    constexpr milliseconds soon{200};
+    if (status == status_too_many) {
+        return {fail(errc::backend_overloaded, body), run_state::not_run, soon};
+    }
+    const errc code = status == status_bad_request ? errc::malformed_request : errc::backend_refused;
+    return {fail(code, "status " + std::to_string(status) + ": " + body), run_state::not_run, soon};
+}
+
+class engine_client {
+  public:
+    explicit engine_client(const endpoint& engine)
+        : m_engine(engine), m_streams(std::make_shared<net::http_pool>(engine, net::http_timeouts{})),
+          m_control(std::make_shared<net::http_pool>(
+              engine, net::http_timeouts{milliseconds(300), milliseconds(1000)})) {}
+
+    void run(const execute_request& request, const event_sink& emit) {
+        const auto& work = std::get<generate_work>(request.work);
+        generate_reader reader(request, emit, m_engine);
+        httplib::Request http;
+        http.method = "POST";
+        http.path = "/v1/generate";
+        http.body = generate_body(request, work).dump();
+        http.set_header("Content-Type", "application/json");
+        http.response_handler = [&reader](const httplib::Response& response) {
+            reader.set_status(response.status);
+            return true;
+        };
+        http.content_receiver = [&reader](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+            return reader.take(data, size);
+        };
+        httplib::Response response;
+        httplib::Error failure = httplib::Error::Success;
+        {
+            // A connection of its own per stream: the engine may end a broken stream by closing the
+            // connection.
+            const auto client = m_streams->make_client();
+            client->send(http, response, failure);
+        }
+        finish(request, emit, reader, failure);
+    }
+
+    result<backend_status> poll() {
+        const auto client = m_control->acquire();
+        const auto load = client->Get("/v1/load");
+        const auto state = load ? client->Get("/v1/state") : httplib::Result(nullptr, load.error());
+        if (!load || !state || load->status != 200 || state->status != 200) {
+            return fail(errc::backend_unreachable, m_engine.str());
+        }
+        try {
+            return parse_status(json::parse(load->body), json::parse(state->body));
+        } catch (const json::exception& problem) {
+            return fail(errc::backend_broken, m_engine.str() + ": " + problem.what());
+        }
+    }
+
+    result<void> order(const engine_order& order) {
+        json adapters = json::array();
+        for (const adapter_id& adapter : order.target.adapters) {
+            adapters.push_back(adapter.str());
+        }
+        const json body = {{"fencing_number", order.fencing.value()},
+                           {"order_id", order.order_id},
+                           {"role", std::string(to_string(order.target.role))},
+                           {"model", order.target.model.str()},
+                           {"version", order.target.version.str()},
+                           {"adapters", adapters}};
+        const auto answer = m_control->acquire()->Post("/v1/orders", body.dump(), "application/json");
+        if (!answer) {
+            return fail(errc::backend_unreachable, m_engine.str());
+        }
+        switch (answer->status) {
+        case status_accepted:
+            return success();
+        case status_conflict:
+            return fail(errc::fencing_number_stale, answer->body);
+        case status_locked:
+            return fail(errc::order_in_progress, answer->body);
+        default:
+            return fail(errc::order_failed, "status " + std::to_string(answer->status) + ": " + answer->body);
+        }
+    }
+
+  private:
+    void finish(const execute_request& request, const event_sink& emit, const generate_reader& reader,
+                httplib::Error failure) {
+        if (reader.done()) {
+            return;
+        }
+        if (reader.caller_gone()) {
+            cancel(request);
+            return;
+        }
+        refusal refused;
+        if (failure == httplib::Error::Connection) {
+            refused = {fail(errc::backend_unreachable, m_engine.str()), run_state::not_run, {}};
+        } else if (reader.status() != 0 && reader.status() != 200) {
+            refused = refusal_of_status(reader.status(), reader.rest());
+        } else {
+            refused = {fail(errc::backend_broken, "the stream of " + m_engine.str() + " ended early"),
+                       run_state::ran,
+                       {}};
+        }
+        (void)emit({request.id, request.attempt, refused, {}});
+    }
+
+    void cancel(const execute_request& request) {
+        const json body = {{"request_id", request.id.str()}, {"attempt", request.attempt.value()}};
+        (void)m_control->acquire()->Post("/v1/cancel", body.dump(), "application/json");
+    }
+
+    static backend_status parse_status(const json& load, const json& state) {
+        backend_status status;
+        status.load.running = request_count(load.at("running").get<std::int64_t>());
+        status.load.waiting = request_count(load.at("waiting").get<std::int64_t>());
+        status.load.slots = request_count(load.at("slots").get<std::int64_t>());
+        status.load.kv_blocks_used = kv_block_count(load.at("kv_blocks_used").get<std::int64_t>());
+        status.load.kv_blocks_total = kv_block_count(load.at("kv_blocks_total").get<std::int64_t>());
+        status.load.measured_at =
+            std::chrono::steady_clock::now() - milliseconds(load.value("age_ms", std::int64_t{0}));
+        status.engine = parse_engine_state(state);
+        status.seen_by_engine = fencing_number(state.value("fencing_number", std::uint64_t{0}));
+        return status;
+    }
+
+    endpoint m_engine;
+    std::shared_ptr<net::http_pool> m_streams;
+    std::shared_ptr<net::http_pool> m_control;
+};
+
+} // namespace detail
+
+backend_hooks engine_backend(const endpoint& engine) {
+    auto client = std::make_shared<detail::engine_client>(engine);
+    return {[client](const execute_request& request, const event_sink& emit) { client->run(request, emit); },
+            [client] { return client->poll(); },
+            [client](const engine_order& order) { return client->order(order); }};
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/agent/plain_service_backend.cpp
@@ -0,0 +1,106 @@
+#include "net/http_pool.hpp"
+
+#include <parsleypitch/agent/backend.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace parsleypitch {
+
+namespace detail {
+
+using nlohmann::json;
+
+constexpr int status_unavailable = 503;
+
+class plain_service_client {
+  public:
+    explicit plain_service_client(const endpoint& target)
+        : m_target(target), m_pool(std::make_shared<net::http_pool>(target, net::http_timeouts{})) {}
+
+    void run(const execute_request& request, const event_sink& emit) {
+        const auto& work = std::get<call_work>(request.work);
+        const std::string path = "/v1/call/" + work.operation.str();
+        const httplib::Headers headers = {{"X-Request-Id", request.id.str()},
+                                          {"X-Idempotency-Key", work.key.str()}};
+        httplib::Result answer = work.repeatable
+                                     ? m_pool->acquire()->Post(path, headers, work.body, work.content_type)
+                                     : call_once(path, headers, work);
+        (void)emit({request.id, request.attempt, outcome(request, work, answer), {}});
+    }
+
+    result<backend_status> poll() {
+        const auto answer = m_pool->acquire()->Get("/v1/load");
+        if (!answer || answer->status != 200) {
+            return fail(errc::backend_unreachable, m_target.str());
+        }
+        const json load = json::parse(answer->body, nullptr, false);
+        if (load.is_discarded() || !load.is_object()) {
+            return fail(errc::backend_broken, m_target.str() + ": expected a JSON object from /v1/load");
+        }
+        backend_status status;
+        status.load.running = request_count(load.value("running", std::int64_t{0}));
+        status.load.waiting = request_count(load.value("waiting", std::int64_t{0}));
+        status.load.slots = request_count(load.value("slots", std::int64_t{1}));
+        status.load.measured_at = std::chrono::steady_clock::now();
+        return status;
+    }
+
+  private:
+    /// A kept connection may be closed by the peer while the request is on its way, which would leave the
+    /// outcome unknown. A new connection either fails before anything is sent or carries the call.
+    httplib::Result call_once(const std::string& path, const httplib::Headers& headers,
+                              const call_work& work) {
+        const auto client = m_pool->make_client();
+        client->set_keep_alive(false);
+        return client->Post(path, headers, work.body, work.content_type);
+    }
+
+    decltype(execute_event::event) outcome(const execute_request& request, const call_work& work,
+                                           const httplib::Result& answer) const {
+        if (!answer) {
+            const bool nothing_sent = answer.error() == httplib::Error::Connection;
+            return refusal{
+                fail(nothing_sent ? errc::backend_unreachable : errc::backend_broken, m_target.str()),
+                nothing_sent ? run_state::not_run : run_state::outcome_unknown,
+                {}};
+        }
+        if (answer->status == status_unavailable) {
+            return refusal{fail(errc::backend_overloaded, m_target.str()), run_state::not_run, {}};
+        }
+        if (!belongs_to(request, *answer)) {
+            return refusal{fail(errc::stream_foreign, m_target.str() + " answered another request than " +
+                                                          request.id.str() + " (" + work.operation.str() +
+                                                          ")"),
+                           run_state::outcome_unknown,
+                           {}};
+        }
+        return plain_answer{static_cast<unsigned>(answer->status), answer->get_header_value("Content-Type"),
+                            answer->body};
+    }
+
+    /// Whether an answer names the request that it answers; an answer that names none is accepted.
+    static bool belongs_to(const execute_request& request, const httplib::Response& answer) {
+        if (answer.has_header("X-Request-Id")) {
+            return answer.get_header_value("X-Request-Id") == request.id.str();
+        }
+        const json body = json::parse(answer.body, nullptr, false);
+        return body.is_discarded() || !body.is_object() || !body.contains("request_id") ||
+               body.at("request_id") == request.id.str();
+    }
+
+    endpoint m_target;
+    std::shared_ptr<net::http_pool> m_pool;
+};
+
+} // namespace detail
+
+backend_hooks plain_service_backend(const endpoint& plain_service) {
+    auto client = std::make_shared<detail::plain_service_client>(plain_service);
+    return {[client](const execute_request& request, const event_sink& emit) { client->run(request, emit); },
+            [client] { return client->poll(); },
+            [](const engine_order&) -> result<void> {
+                return fail(errc::order_failed, "a plain service takes no orders");
+            }};
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/entry/front_end.cpp
@@ -0,0 +1,460 @@
+#include "entry/http_messages.hpp"
+#include "net/address.hpp"
+
+#include <parsleypitch/core/hash.hpp>
+#include <parsleypitch/entry/front_end.hpp>
+
+#include <glog/logging.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace parsleypitch {
+
+namespace detail {
+
+constexpr const char* json_type = "application/json";
+// The balancer needs this long to see that /healthz fails before new requests may be refused.
+constexpr milliseconds drain_grace{2000};
+// A planned stop waits at most this long for open answers; the longest generations take minutes.
+constexpr seconds drain_limit{120};
+constexpr int listen_backlog = 1024;
+constexpr seconds body_timeout{5};
+
+/// Counts the requests that are open, so that a planned stop can wait for them.
+class open_requests {
+  public:
+    void enter() {
+        const std::lock_guard lock(m_mutex);
+        ++m_open;
+    }
+    void leave() {
+        const std::lock_guard lock(m_mutex);
+        if (--m_open == 0) {
+            m_none.notify_all();
+        }
+    }
+    bool wait_until_none(duration limit) {
+        std::unique_lock lock(m_mutex);
+        return m_none.wait_for(lock, limit, [this] { return m_open == 0; });
+    }
+
+  private:
+    std::mutex m_mutex;
+    std::condition_variable m_none;
+    int m_open = 0;
+};
+
+/// Accounts of one environment by the hash of their keys.
+struct account_index {
+    std::shared_ptr<const environment> source;
+    std::unordered_map<std::string, const account_spec*> by_key;
+};
+
+const model_spec* find_model(const environment& env, const model_id& id) {
+    for (const model_spec& model : env.models) {
+        if (model.id == id) {
+            return &model;
+        }
+    }
+    return nullptr;
+}
+
+result<const operation_spec*> find_operation(const environment& env, const plain_service_id& id,
+                                             const operation_id& operation) {
+    for (const plain_service_spec& each : env.plain_services) {
+        if (each.id != id) {
+            continue;
+        }
+        for (const operation_spec& spec : each.operations) {
+            if (spec.id == operation) {
+                return &spec;
+            }
+        }
+        return fail(errc::unknown_operation, id.str() + "/" + operation.str());
+    }
+    return fail(errc::unknown_service, id.str());
+}
+
+} // namespace detail
+
+struct front_end::state {
+    state(const entry_settings& entry, front_end_hooks given) : settings(entry), hooks(std::move(given)) {}
+
+    void add_routes();
+    void generation(const httplib::Request& http, httplib::Response& response,
+                    detail::generation_endpoint kind);
+    void plain_call(const httplib::Request& http, httplib::Response& response);
+    void health(httplib::Response& response) const;
+    result<caller_request> identify(const httplib::Request& http,
+                                    const std::shared_ptr<const environment>& env);
+    result<caller_request> prepare_generation(const httplib::Request& http, detail::generation_endpoint kind,
+                                              bool& stream);
+    result<caller_request> prepare_call(const httplib::Request& http);
+    void refuse(const caller_request& request, httplib::Response& response, const refusal& refused);
+    void finish(const caller_request& request, const request_outcome& outcome);
+    void answer_whole(const std::shared_ptr<generation_run>& run, generation_run::step first,
+                      httplib::Response& response, detail::generation_endpoint kind, time_point arrived);
+    void answer_stream(const std::shared_ptr<generation_run>& run, const generation_run::step& first,
+                       httplib::Response& response, detail::generation_endpoint kind, time_point arrived);
+    std::shared_ptr<const detail::account_index> accounts(const std::shared_ptr<const environment>& env);
+
+    entry_settings settings;
+    front_end_hooks hooks;
+    httplib::Server server;
+    int listening_socket = -1;
+    std::thread listener;
+    detail::open_requests open;
+    std::atomic<bool> draining = false;
+    std::atomic<bool> refusing = false;
+    std::atomic<std::shared_ptr<const detail::account_index>> index;
+};
+
+front_end::front_end(const entry_settings& settings, front_end_hooks hooks)
+    : m_state(std::make_unique<state>(settings, std::move(hooks))) {
+}
+
+front_end::~front_end() = default;
+
+bool front_end::draining() const {
+    return m_state->draining;
+}
+
+result<void> front_end::start(kernel&) {
+    httplib::Server& server = m_state->server;
+    const unsigned threads = m_state->settings.caller_threads;
+    server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    server.set_tcp_nodelay(true);
+    server.set_payload_max_length(static_cast<std::size_t>(m_state->settings.max_body.value()));
+    server.set_read_timeout(detail::body_timeout);
+    server.set_keep_alive_max_count(1'000'000);
+    server.set_socket_options([this](socket_t sock) {
+        const int on = 1;
+        ::setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        m_state->listening_socket = sock;
+    });
+    m_state->add_routes();
+    const auto [host, port] = net::split(m_state->settings.callers);
+    if (!server.bind_to_port(host.c_str(), port)) {
+        return fail(errc::bind_failed, m_state->settings.callers.str());
+    }
+    // cpp-httplib listens with a backlog of 5, which a burst of connections overflows.
+    ::listen(m_state->listening_socket, detail::listen_backlog);
+    m_state->listener = std::thread([&server] { server.listen_after_bind(); });
+    return success();
+}
+
+void front_end::drain() {
+    m_state->draining = true;
+    std::this_thread::sleep_for(detail::drain_grace);
+    m_state->refusing = true;
+    if (!m_state->open.wait_until_none(detail::drain_limit)) {
+        LOG(WARNING) << "front end: requests are still open after the drain limit";
+    }
+}
+
+void front_end::stop() {
+    m_state->server.stop();
+    if (m_state->listener.joinable()) {
+        m_state->listener.join();
+    }
+}
+
+void front_end::state::add_routes() {
+    const auto guarded = [this](auto handler) {
+        return [this, handler](const httplib::Request& http, httplib::Response& response) {
+            open.enter();
+            handler(http, response);
+            // A streamed answer leaves when its content provider is released.
+            if (!response.content_provider_) {
+                open.leave();
+            }
+        };
+    };
+    server.Post("/v1/completions", guarded([this](const auto& http, auto& response) {
+                    generation(http, response, detail::generation_endpoint::completions);
+                }));
+    server.Post("/v1/chat/completions", guarded([this](const auto& http, auto& response) {
+                    generation(http, response, detail::generation_endpoint::chat);
+                }));
+    server.Post(R"(/v1/services/([^/]+)/([^/]+))",
+                guarded([this](const auto& http, auto& response) { plain_call(http, response); }));
+    server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(hooks.metrics(), "text/plain; version=0.0.4");
+    });
+    server.Get("/healthz",
+               [this](const httplib::Request&, httplib::Response& response) { health(response); });
+    const httplib::Server::HandlerWithResponse describe = [this](const httplib::Request&,
+                                                                 httplib::Response& response) {
+        if (!response.body.empty()) {
+            return httplib::Server::HandlerResponse::Unhandled;
+        }
+        const bool large = response.status == 413;
+        const refusal refused{fail(large ? errc::body_too_large : errc::malformed_request,
+                                   "status " + std::to_string(response.status)),
+                              run_state::not_run,
+                              {}};
+        const request_id id = hooks.new_request_id();
+        response.set_header("X-Request-Id", id.str());
+        response.set_content(detail::encode_refusal(id, refused), detail::json_type);
+        return httplib::Server::HandlerResponse::Handled;
+    };
+    server.set_error_handler(describe);
+}
+
+void front_end::state::health(httplib::Response& response) const {
+    const entry_health health = hooks.health();
+    const bool serving = health.ready && !draining;
+    response.status = serving ? 200 : 503;
+    const nlohmann::json body = {{"status", serving    ? "ok"
+                                            : draining ? "draining"
+                                                       : "starting"},
+                                 {"config_version", health.config.value()},
+                                 {"config_proven", health.config_proven},
+                                 {"live_backend_servers", health.live_backend_servers}};
+    response.set_content(body.dump(), detail::json_type);
+}
+
+std::shared_ptr<const detail::account_index>
+front_end::state::accounts(const std::shared_ptr<const environment>& env) {
+    auto current = index.load();
+    if (current && current->source == env) {
+        return current;
+    }
+    auto built = std::make_shared<detail::account_index>();
+    built->source = env;
+    for (const account_spec& account : env->accounts) {
+        built->by_key[account.key_sha256] = &account;
+    }
+    index.store(built);
+    return built;
+}
+
+result<caller_request> front_end::state::identify(const httplib::Request& http,
+                                                  const std::shared_ptr<const environment>& env) {
+    static constexpr std::string_view scheme = "Bearer ";
+    const std::string authorization = http.get_header_value("Authorization");
+    if (authorization.rfind(scheme, 0) != 0) {
+        return fail(errc::unknown_account, "expected the header Authorization: Bearer <account key>");
+    }
+    const auto known = accounts(env);
+    const auto found = known->by_key.find(sha256_hex(std::string_view(authorization).substr(scheme.size())));
+    if (found == known->by_key.end()) {
+        return fail(errc::unknown_account, "the account key is not known");
+    }
+    caller_request request;
+    request.caller = found->second->id;
+    request.priority = found->second->highest_rank;
+    if (http.has_header("X-Rank")) {
+        const auto wanted = parse_rank(http.get_header_value("X-Rank"));
+        if (!wanted) {
+            return fail(errc::malformed_request, "X-Rank: expected urgent, normal or bulk");
+        }
+        if (*wanted < found->second->highest_rank) {
+            return fail(errc::rank_not_allowed,
+                        "the highest rank of this account is " + std::string(to_string(request.priority)));
+        }
+        request.priority = *wanted;
+    }
+    request.start_by = hooks.clock() + env->ranks[index_of(request.priority)].deadline;
+    return request;
+}
+
+result<caller_request> front_end::state::prepare_generation(const httplib::Request& http,
+                                                            detail::generation_endpoint kind, bool& stream) {
+    const auto env = hooks.current_environment();
+    if (!env) {
+        return fail(errc::config_unavailable, "no configuration has been adopted yet");
+    }
+    if (refusing) {
+        return fail(errc::draining, "this entry host is stopping");
+    }
+    BOOST_OUTCOME_TRY(request, identify(http, env));
+    BOOST_OUTCOME_TRY(body, detail::parse_generation_body(http.body, kind));
+    const model_spec* model = detail::find_model(*env, body.work.model);
+    if (model == nullptr) {
+        return fail(errc::unknown_model, body.work.model.str());
+    }
+    body.work.version = model->version;
+    stream = body.stream;
+    request.work = std::move(body.work);
+    return request;
+}
+
+result<caller_request> front_end::state::prepare_call(const httplib::Request& http) {
+    const auto env = hooks.current_environment();
+    if (!env) {
+        return fail(errc::config_unavailable, "no configuration has been adopted yet");
+    }
+    if (refusing) {
+        return fail(errc::draining, "this entry host is stopping");
+    }
+    BOOST_OUTCOME_TRY(request, identify(http, env));
+    call_work work;
+    work.plain_service = plain_service_id(http.matches[1].str());
+    work.operation = operation_id(http.matches[2].str());
+    BOOST_OUTCOME_TRY(operation, detail::find_operation(*env, work.plain_service, work.operation));
+    work.repeatable = operation->repeatable;
+    work.key = idempotency_key(http.get_header_value("Idempotency-Key"));
+    if (!work.repeatable && work.key.empty()) {
+        return fail(errc::idempotency_key_required,
+                    "expected the header Idempotency-Key for " + work.operation.str());
+    }
+    work.body = http.body;
+    work.content_type =
+        http.has_header("Content-Type") ? http.get_header_value("Content-Type") : detail::json_type;
+    request.work = std::move(work);
+    return request;
+}
+
+void front_end::state::refuse(const caller_request& request, httplib::Response& response,
+                              const refusal& refused) {
+    response.status = detail::http_status(refused);
+    if (refused.retry_after.count() > 0) {
+        response.set_header("Retry-After", std::to_string((refused.retry_after.count() + 999) / 1000));
+    }
+    response.set_content(detail::encode_refusal(request.id, refused), detail::json_type);
+}
+
+void front_end::state::finish(const caller_request& request, const request_outcome& outcome) {
+    hooks.on_end(request, outcome);
+}
+
+void front_end::state::plain_call(const httplib::Request& http, httplib::Response& response) {
+    const time_point arrived = hooks.clock();
+    const request_id id = hooks.new_request_id();
+    response.set_header("X-Request-Id", id.str());
+    auto prepared = prepare_call(http);
+    caller_request request = prepared ? std::move(prepared.value()) : caller_request{};
+    request.id = id;
+    request_outcome outcome;
+    if (!prepared) {
+        outcome.refused = refusal{prepared.error(), run_state::not_run, {}};
+    } else if (const auto admitted = hooks.admit(request); !admitted) {
+        outcome.refused = refusal{admitted.error(), run_state::not_run, milliseconds(500)};
+    } else {
+        auto ended = hooks.call(request);
+        if (const auto* answer = std::get_if<plain_answer>(&ended)) {
+            response.status = static_cast<int>(answer->status);
+            response.set_content(answer->body,
+                                 answer->content_type.empty() ? detail::json_type : answer->content_type);
+        } else {
+            outcome.refused = std::get<refusal>(std::move(ended));
+        }
+    }
+    if (outcome.refused) {
+        refuse(request, response, *outcome.refused);
+    }
+    outcome.first_answer = hooks.clock() - arrived;
+    outcome.total = outcome.first_answer;
+    finish(request, outcome);
+}
+
+void front_end::state::generation(const httplib::Request& http, httplib::Response& response,
+                                  detail::generation_endpoint kind) {
+    const time_point arrived = hooks.clock();
+    const request_id id = hooks.new_request_id();
+    response.set_header("X-Request-Id", id.str());
+    bool stream = false;
+    auto prepared = prepare_generation(http, kind, stream);
+    caller_request request = prepared ? std::move(prepared.value()) : caller_request{};
+    request.id = id;
+    std::optional<refusal> refused;
+    if (!prepared) {
+        refused = refusal{prepared.error(), run_state::not_run, {}};
+    } else if (const auto admitted = hooks.admit(request); !admitted) {
+        refused = refusal{admitted.error(), run_state::not_run, milliseconds(500)};
+    }
+    if (refused) {
+        refuse(request, response, *refused);
+        finish(request, {refused, hooks.clock() - arrived, hooks.clock() - arrived, {}, {}, {}, false});
+        return;
+    }
+    auto run = std::make_shared<generation_run>(std::move(request), *hooks.attempts);
+    generation_run::step first = run->next();
+    if (const auto* failed = std::get_if<refusal>(&first)) {
+        refuse(run->request(), response, *failed);
+        finish(run->request(),
+               {*failed, hooks.clock() - arrived, hooks.clock() - arrived, {}, run->attempts(), {}, false});
+        return;
+    }
+    if (stream) {
+        answer_stream(run, first, response, kind, arrived);
+    } else {
+        answer_whole(run, std::move(first), response, kind, arrived);
+    }
+}
+
+void front_end::state::answer_whole(const std::shared_ptr<generation_run>& run, generation_run::step first,
+                                    httplib::Response& response, detail::generation_endpoint kind,
+                                    time_point arrived) {
+    request_outcome outcome;
+    outcome.first_answer = hooks.clock() - arrived;
+    std::string text;
+    generation_run::step step = std::move(first);
+    while (const auto* token = std::get_if<token_event>(&step)) {
+        text += token->text;
+        outcome.tokens += token_count(1);
+        step = run->next();
+    }
+    if (const auto* end = std::get_if<generation_end>(&step)) {
+        response.set_content(detail::encode_whole_answer(run->request(), text, *end, kind),
+                             detail::json_type);
+    } else {
+        outcome.refused = std::get<refusal>(step);
+        refuse(run->request(), response, *outcome.refused);
+    }
+    outcome.total = hooks.clock() - arrived;
+    outcome.attempts = run->attempts();
+    if (outcome.tokens > token_count(1)) {
+        outcome.between_tokens = (outcome.total - outcome.first_answer) / (outcome.tokens.value() - 1);
+    }
+    finish(run->request(), outcome);
+}
+
+void front_end::state::answer_stream(const std::shared_ptr<generation_run>& run,
+                                     const generation_run::step& first, httplib::Response& response,
+                                     detail::generation_endpoint kind, time_point arrived) {
+    auto outcome = std::make_shared<request_outcome>();
+    outcome->first_answer = hooks.clock() - arrived;
+    outcome->caller_gone = true;
+    auto step = std::make_shared<generation_run::step>(first);
+    const auto provider = [this, run, outcome, step, kind](std::size_t, httplib::DataSink& sink) {
+        const auto send = [&sink](const std::string& text) { return sink.write(text.data(), text.size()); };
+        if (const auto* token = std::get_if<token_event>(step.get())) {
+            if (!send(detail::encode_token_event(run->request(), *token, kind))) {
+                return false;
+            }
+            outcome->tokens += token_count(1);
+            *step = run->next();
+            return true;
+        }
+        outcome->caller_gone = false;
+        if (const auto* end = std::get_if<generation_end>(step.get())) {
+            send(detail::encode_end_event(run->request(), *end, kind));
+        } else {
+            outcome->refused = std::get<refusal>(*step);
+            send(detail::encode_failure_event(run->request(), *outcome->refused));
+        }
+        sink.done();
+        return true;
+    };
+    const auto release = [this, run, outcome, arrived](bool) {
+        outcome->total = hooks.clock() - arrived;
+        outcome->attempts = run->attempts();
+        if (outcome->tokens > token_count(1)) {
+            outcome->between_tokens =
+                (outcome->total - outcome->first_answer) / (outcome->tokens.value() - 1);
+        }
+        finish(run->request(), *outcome);
+        open.leave();
+    };
+    response.set_chunked_content_provider("text/event-stream", provider, release);
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/entry/http_messages.cpp
@@ -0,0 +1,211 @@
+#include "entry/http_messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cctype>
+
+namespace parsleypitch::detail {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::int64_t default_max_tokens = 128;
+constexpr std::int64_t highest_max_tokens = 32'768;
+
+result<std::string> text_field(const json& body, const char* key, bool required) {
+    const auto found = body.find(key);
+    if (found == body.end()) {
+        if (required) {
+            return fail(errc::malformed_request, std::string(key) + ": this field is required");
+        }
+        return std::string();
+    }
+    if (!found->is_string()) {
+        return fail(errc::malformed_request, std::string(key) + ": expected a string");
+    }
+    return found->get<std::string>();
+}
+
+result<std::int64_t> max_tokens_field(const json& body) {
+    const auto found = body.find("max_tokens");
+    if (found == body.end()) {
+        return default_max_tokens;
+    }
+    if (!found->is_number_integer() || found->get<std::int64_t>() < 1 ||
+        found->get<std::int64_t>() > highest_max_tokens) {
+        return fail(errc::malformed_request,
+                    "max_tokens: expected an integer from 1 to " + std::to_string(highest_max_tokens));
+    }
+    return found->get<std::int64_t>();
+}
+
+result<std::string> chat_prompt(const json& body) {
+    const auto found = body.find("messages");
+    if (found == body.end() || !found->is_array() || found->empty()) {
+        return fail(errc::malformed_request, "messages: expected an array that is not empty");
+    }
+    std::string prompt;
+    for (const json& message : *found) {
+        if (!message.is_object()) {
+            return fail(errc::malformed_request, "messages: expected objects with role and content");
+        }
+        BOOST_OUTCOME_TRY(role, text_field(message, "role", true));
+        BOOST_OUTCOME_TRY(content, text_field(message, "content", true));
+        prompt += role + ": " + content + "\n";
+    }
+    return prompt;
+}
+
+const char* object_name(generation_endpoint kind, bool chunk) {
+    if (kind == generation_endpoint::completions) {
+        return "text_completion";
+    }
+    return chunk ? "chat.completion.chunk" : "chat.completion";
+}
+
+json answer_head(const caller_request& request, generation_endpoint kind, bool chunk) {
+    return {{"id", request.id.str()},
+            {"object", object_name(kind, chunk)},
+            {"model", std::get<generate_work>(request.work).model.str()}};
+}
+
+json usage_of(const caller_request& request, const generation_end& end) {
+    const std::int64_t prompt = std::get<generate_work>(request.work).prompt_tokens.value();
+    return {{"prompt_tokens", prompt},
+            {"completion_tokens", end.tokens.value()},
+            {"total_tokens", prompt + end.tokens.value()}};
+}
+
+std::string server_sent(const json& body) {
+    return "data: " + body.dump() + "\n\n";
+}
+
+json refusal_json(const request_id& id, const refusal& refused) {
+    return {{"error",
+             {{"code", refused.why.code.value()},
+              {"reason", reason_name(refused.why.code)},
+              {"message", refused.why.detail},
+              {"run_state", std::string(to_string(refused.ran))},
+              {"retry_after_ms", refused.retry_after.count()},
+              {"request_id", id.str()}}}};
+}
+
+} // namespace
+
+token_count count_tokens(std::string_view prompt) {
+    std::int64_t words = 0;
+    bool in_word = false;
+    for (const char c : prompt) {
+        const bool space = std::isspace(static_cast<unsigned char>(c)) != 0;
+        words += !space && !in_word ? 1 : 0;
+        in_word = !space;
+    }
+    return token_count(words);
+}
+
+result<generation_body> parse_generation_body(std::string_view body, generation_endpoint kind) {
+    const json parsed = json::parse(body, nullptr, false);
+    if (parsed.is_discarded() || !parsed.is_object()) {
+        return fail(errc::malformed_request, "expected a JSON object as body");
+    }
+    generation_body out;
+    BOOST_OUTCOME_TRY(model, text_field(parsed, "model", true));
+    BOOST_OUTCOME_TRY(adapter, text_field(parsed, "adapter", false));
+    BOOST_OUTCOME_TRY(max_tokens, max_tokens_field(parsed));
+    BOOST_OUTCOME_TRY(prompt, kind == generation_endpoint::chat ? chat_prompt(parsed)
+                                                                : text_field(parsed, "prompt", true));
+    out.work.prompt = std::move(prompt);
+    out.work.model = model_id(std::move(model));
+    out.work.adapter = adapter_id(std::move(adapter));
+    out.work.max_tokens = token_count(max_tokens);
+    out.work.prompt_tokens = count_tokens(out.work.prompt);
+    const auto stream = parsed.find("stream");
+    if (stream != parsed.end() && !stream->is_boolean()) {
+        return fail(errc::malformed_request, "stream: expected true or false");
+    }
+    out.stream = stream != parsed.end() && stream->get<bool>();
+    return out;
+}
+
+std::string encode_token_event(const caller_request& request, const token_event& token,
+                               generation_endpoint kind) {
+    json body = answer_head(request, kind, true);
+    json choice = {{"index", 0}, {"finish_reason", nullptr}};
+    if (kind == generation_endpoint::chat) {
+        choice["delta"] = {{"content", token.text}};
+    } else {
+        choice["text"] = token.text;
+    }
+    body["choices"] = json::array({choice});
+    return server_sent(body);
+}
+
+std::string encode_end_event(const caller_request& request, const generation_end& end,
+                             generation_endpoint kind) {
+    json body = answer_head(request, kind, true);
+    json choice = {{"index", 0}, {"finish_reason", "length"}};
+    if (kind == generation_endpoint::chat) {
+        choice["delta"] = json::object();
+    } else {
+        choice["text"] = "";
+    }
+    body["choices"] = json::array({choice});
+    body["usage"] = usage_of(request, end);
+    return server_sent(body) + "data: [DONE]\n\n";
+}
+
+std::string encode_failure_event(const caller_request& request, const refusal& refused) {
+    return server_sent(refusal_json(request.id, refused));
+}
+
+std::string encode_whole_answer(const caller_request& request, const std::string& text,
+                                const generation_end& end, generation_endpoint kind) {
+    json body = answer_head(request, kind, false);
+    json choice = {{"index", 0}, {"finish_reason", "length"}};
+    if (kind == generation_endpoint::chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    body["choices"] = json::array({choice});
+    body["usage"] = usage_of(request, end);
+    return body.dump();
+}
+
+std::string encode_refusal(const request_id& id, const refusal& refused) {
+    return refusal_json(id, refused).dump();
+}
+
+int http_status(const refusal& refused) {
+    if (refused.why.code.category() != parsleypitch_category()) {
+        return 500;
+    }
+    switch (static_cast<errc>(refused.why.code.value())) {
+    case errc::malformed_request:
+    case errc::idempotency_key_required:
+        return 400;
+    case errc::unknown_account:
+        return 401;
+    case errc::rank_not_allowed:
+        return 403;
+    case errc::unknown_model:
+    case errc::unknown_service:
+    case errc::unknown_operation:
+        return 404;
+    case errc::idempotency_key_reused:
+        return 422;
+    case errc::body_too_large:
+        return 413;
+    case errc::account_over_share:
+    case errc::queue_full:
+    case errc::deadline_unreachable:
+        return 429;
+    case errc::outcome_unknown:
+        return 504;
+    default:
+        return refused.ran == run_state::outcome_unknown ? 504 : 503;
+    }
+}
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/entry/membership_service.cpp
@@ -0,0 +1,201 @@
+#include "entry/membership_service.hpp"
+
+#include "wire/convert.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <future>
+
+namespace parsleypitch::detail {
+
+namespace {
+
+constexpr milliseconds sweep_period{200};
+// Other zones see at most this many backend servers of each kind, role and model; enough to sample from.
+constexpr std::size_t digest_size_per_group = 8;
+
+std::string group_of(const member& record) {
+    return record.plain_service.str() + "/" + record.engine.model.str() + "/" +
+           std::string(to_string(record.engine.role));
+}
+
+} // namespace
+
+membership_service::membership_service(const entry_settings& settings, incarnation born,
+                                       membership_hooks hooks)
+    : m_settings(settings), m_born(born), m_hooks(std::move(hooks)),
+      m_directory(settings.zone, settings.seeds, std::chrono::steady_clock::now()),
+      m_view(std::make_shared<const fleet_view>()), m_reply(std::make_shared<const v1::HeartbeatReply>()) {
+}
+
+result<void> membership_service::start(kernel& host) {
+    m_kernel = &host;
+    m_sender = std::make_unique<heartbeat_sender>(
+        host, [this](const endpoint& from, const v1::HeartbeatReply& reply) { take_reply(from, reply); },
+        [](const endpoint&) {});
+    host.every(sweep_period, [this] { publish(); });
+    host.every(heartbeat_period, [this] {
+        send_heartbeats();
+        read_host_list();
+    });
+    return success();
+}
+
+v1::HeartbeatReply membership_service::answer(const v1::HeartbeatRequest& request) {
+    m_kernel->post_control([this, request] { take(request); });
+    v1::HeartbeatReply reply = *m_reply.load();
+    reply.set_config_proof_age_ms(static_cast<std::uint32_t>(m_hooks.config_proof_age().count()));
+    return reply;
+}
+
+void membership_service::unreachable(const std::string& id) {
+    m_kernel->post_control([this, id] {
+        m_table.observe_unreachable(id);
+        publish();
+    });
+}
+
+void membership_service::take(const v1::HeartbeatRequest& request) {
+    const time_point now = std::chrono::steady_clock::now();
+    member sender = wire::from_wire(request.sender(), now);
+    const bool changes_health = sender.health != member_health::live;
+    if (sender.kind == member_kind::entry_host) {
+        m_directory.learn({entry_host_id(sender.id), sender.zone, sender.address}, now);
+        m_hooks.on_config_offer(sender.address, sender.config, milliseconds(request.config_proof_age_ms()));
+    }
+    m_table.observe_heartbeat(std::move(sender), now);
+    for (const v1::MemberRecord& record : request.digest()) {
+        // The load's age also bounds the age of the record, as both were taken from the same heartbeat.
+        m_table.observe_digest(wire::from_wire(record, now), milliseconds(record.load().age_ms()), now);
+    }
+    if (changes_health) {
+        publish();
+    }
+}
+
+void membership_service::take_reply(const endpoint& from, const v1::HeartbeatReply& reply) {
+    const time_point now = std::chrono::steady_clock::now();
+    for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
+        const endpoint address(each.address());
+        m_zones[address] = availability_zone_id(each.zone());
+        if (address != m_settings.peers) {
+            m_directory.learn({entry_host_id(each.id()), availability_zone_id(each.zone()), address}, now);
+        }
+    }
+    m_directory.answered(from, now);
+    m_hooks.on_config_offer(from, config_version(reply.config_version()),
+                            milliseconds(reply.config_proof_age_ms()));
+}
+
+member membership_service::own_record() const {
+    member own;
+    own.id = m_settings.id.str();
+    own.kind = member_kind::entry_host;
+    own.zone = m_settings.zone;
+    own.address = m_settings.peers;
+    own.born = m_born;
+    own.health = m_leaving ? member_health::leaving : member_health::live;
+    m_hooks.fill_own(own);
+    return own;
+}
+
+bool membership_service::is_relay() const {
+    const std::vector<member> speakers = m_table.relays(m_settings.zone);
+    return std::any_of(speakers.begin(), speakers.end(),
+                       [this](const member& each) { return each.id == m_settings.id.str(); });
+}
+
+void membership_service::add_digest(v1::HeartbeatRequest& request, time_point now, bool to_own_zone) const {
+    std::map<std::string, std::size_t> sizes;
+    for (const member& record : m_table.view(now).members) {
+        if (record.kind == member_kind::entry_host || record.zone != m_settings.zone) {
+            continue;
+        }
+        // Members of the own zone hear from the backend servers themselves, except that one is on the host
+        // list.
+        const bool leaving = record.health == member_health::leaving;
+        const bool wanted = to_own_zone ? leaving : leaving || record.health == member_health::live;
+        if (wanted && (leaving || ++sizes[group_of(record)] <= digest_size_per_group)) {
+            *request.add_digest() = wire::to_wire(record, now);
+            request.mutable_digest(request.digest_size() - 1)
+                ->mutable_load()
+                ->set_age_ms(static_cast<std::uint32_t>(
+                    std::chrono::duration_cast<milliseconds>(now - record.last_heartbeat).count()));
+        }
+    }
+}
+
+void membership_service::send_heartbeats() {
+    const time_point now = std::chrono::steady_clock::now();
+    m_directory.sweep(now);
+    const bool relay = is_relay();
+    v1::HeartbeatRequest own_zone;
+    *own_zone.mutable_sender() = wire::to_wire(own_record(), now);
+    own_zone.set_config_proof_age_ms(static_cast<std::uint32_t>(m_hooks.config_proof_age().count()));
+    v1::HeartbeatRequest other_zone = own_zone;
+    if (relay) {
+        add_digest(own_zone, now, true);
+        add_digest(other_zone, now, false);
+    }
+    for (const endpoint& target : m_directory.targets_of_entry_host(now)) {
+        const auto zone = m_zones.find(target);
+        const bool same = zone != m_zones.end() && zone->second == m_settings.zone;
+        m_sender->send(target, same ? own_zone : other_zone);
+    }
+}
+
+void membership_service::read_host_list() {
+    // Only the relays read the list, as one read a second by every entry host would use up the platform's
+    // rate.
+    if (!m_hooks.host_list || m_reading_list || !is_relay()) {
+        return;
+    }
+    m_reading_list = true;
+    m_kernel->post_worker([this] {
+        auto hosts = m_hooks.host_list();
+        m_kernel->post_control([this, hosts = std::move(hosts)] {
+            m_reading_list = false;
+            if (hosts) {
+                m_table.observe_host_list(hosts.value());
+                publish();
+            }
+        });
+    });
+}
+
+void membership_service::publish() {
+    const time_point now = std::chrono::steady_clock::now();
+    const member own = own_record();
+    m_table.observe_heartbeat(own, now);
+    m_table.sweep(now);
+    m_view.store(std::make_shared<const fleet_view>(m_table.view(now)));
+    auto reply = std::make_shared<v1::HeartbeatReply>();
+    reply->set_config_version(own.config.value());
+    reply->set_highest_fencing_number(own.highest_fencing.value());
+    std::vector<entry_address> hosts = m_directory.answering(now);
+    hosts.push_back({m_settings.id, m_settings.zone, m_settings.peers});
+    for (const entry_address& host : hosts) {
+        v1::EntryHostAddress& entry = *reply->add_entry_hosts();
+        entry.set_id(host.id.str());
+        entry.set_zone(host.zone.str());
+        entry.set_address(host.address.str());
+    }
+    m_reply.store(reply);
+}
+
+void membership_service::drain() {
+    std::promise<void> told;
+    m_kernel->post_control([this, &told] {
+        m_leaving = true;
+        send_heartbeats();
+        told.set_value();
+    });
+    told.get_future().wait();
+}
+
+void membership_service::stop() {
+    m_sender->stop();
+}
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/entry/membership_service.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "membership/heartbeat_sender.hpp"
+
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/membership/table.hpp>
+#include <parsleypitch/settings/settings.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace parsleypitch::detail {
+
+/// @brief Hooks through which other services of an entry host take part in heartbeats.
+struct membership_hooks {
+    /// @brief Fills the fields of this host's own record, on the control thread.
+    std::function<void(member& own)> fill_own;
+    /// @brief Age of this host's proof of its configuration.
+    std::function<milliseconds()> config_proof_age;
+    /// @brief Sees a configuration version that a peer offers, on the control thread.
+    std::function<void(const endpoint& peer, config_version version, milliseconds proof_age)> on_config_offer;
+    /// @brief Reads the platform's host list on a worker thread.
+    host_list_hook host_list;
+};
+
+/// @brief Membership of an entry host; kernel service "membership".
+class membership_service final : public service {
+  public:
+    membership_service(const entry_settings& settings, incarnation born, membership_hooks hooks);
+
+    [[nodiscard]] service_name name() const override { return service_name("membership"); }
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void drain() override;
+    void stop() override;
+
+    /// @brief The fleet as last published; safe for all threads.
+    [[nodiscard]] std::shared_ptr<const fleet_view> view() const { return m_view.load(); }
+    /// @brief Answers a heartbeat; safe for all threads.
+    [[nodiscard]] v1::HeartbeatReply answer(const v1::HeartbeatRequest& request);
+    /// @brief Tells that a connection to a member failed; safe for all threads.
+    void unreachable(const std::string& id);
+    /// @brief Whether this host speaks for its zone; control thread only.
+    [[nodiscard]] bool is_relay() const;
+
+  private:
+    void take(const v1::HeartbeatRequest& request);
+    void take_reply(const endpoint& from, const v1::HeartbeatReply& reply);
+    void send_heartbeats();
+    void add_digest(v1::HeartbeatRequest& request, time_point now, bool to_own_zone) const;
+    void read_host_list();
+    void publish();
+    [[nodiscard]] member own_record() const;
+
+    entry_settings m_settings;
+    incarnation m_born;
+    membership_hooks m_hooks;
+    kernel* m_kernel = nullptr;
+    membership_table m_table;
+    entry_directory m_directory;
+    std::unique_ptr<heartbeat_sender> m_sender;
+    std::map<endpoint, availability_zone_id> m_zones;
+    std::atomic<std::shared_ptr<const fleet_view>> m_view;
+    std::atomic<std::shared_ptr<const v1::HeartbeatReply>> m_reply;
+    bool m_leaving = false;
+    bool m_reading_list = false;
+};
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/net/address.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <parsleypitch/core/ids.hpp>
+
+#include <string>
+
+namespace parsleypitch::net {
+
+/// @brief The two halves of an endpoint.
+struct host_and_port {
+    std::string host;
+    int port = 0;
+};
+
+/// @brief Splits `address:port`; settings were checked, so the text is well formed.
+[[nodiscard]] inline host_and_port split(const endpoint& target) {
+    const std::string& text = target.str();
+    const std::size_t colon = text.rfind(':');
+    std::string host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[') {
+        host = host.substr(1, host.size() - 2);
+    }
+    return {host, colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1)};
+}
+
+} // namespace parsleypitch::net
--- /dev/null
+++ b/tests/unit-request-path.cpp
@@ -0,0 +1,188 @@
+#include <parsleypitch/entry/request_path.hpp>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace parsleypitch {
+
+/// Plays scripted answers of agents; every attempt takes the next script.
+class request_path_fixture : public testing::Test {
+  protected:
+    using script = std::deque<result<execute_event>>;
+
+    request_path_fixture() {
+        m_request.id = request_id("r1");
+        generate_work work;
+        work.max_tokens = token_count(3);
+        m_request.work = work;
+        m_hooks.clock = [this] { return m_now; };
+        m_hooks.execute = [this](const endpoint&, const execute_request& attempt) { return open(attempt); };
+        m_hooks.choose = [this](const route_question& question) -> result<route> {
+            for (const char* server : {"b1", "b2", "b3"}) {
+                if (!question.excluded.contains(server)) {
+                    return route{server, endpoint(server), false};
+                }
+            }
+            return fail(errc::no_backend_server, "all failed");
+        };
+        m_hooks.may_retry = [this](const retry_question& question) -> result<duration> {
+            const auto* call = std::get_if<call_work>(&question.request.work);
+            if (call != nullptr && !call->repeatable && question.ran != run_state::not_run) {
+                return fail(errc::outcome_unknown, "");
+            }
+            ++m_retries;
+            return duration();
+        };
+        m_hooks.sleep = [](duration) {};
+        m_hooks.on_attempt = [](const caller_request&, const route&) {};
+        m_hooks.on_attempt_end = [this](const caller_request&, const route&,
+                                        const std::optional<load_report>&, duration) { ++m_closed; };
+        m_hooks.on_failure = [](const route&, const error&) {};
+    }
+
+    execute_stream open(const execute_request& attempt) {
+        m_attempts.push_back(attempt);
+        auto events = std::make_shared<script>(std::move(m_scripts.front()));
+        m_scripts.pop_front();
+        return {[events]() -> result<execute_event> {
+                    if (events->empty()) {
+                        return fail(errc::agent_broken, "the script is over");
+                    }
+                    auto event = std::move(events->front());
+                    events->pop_front();
+                    return event;
+                },
+                [] {}};
+    }
+
+    static execute_event token(std::uint64_t attempt, std::uint64_t index, const std::string& id = "r1") {
+        return {request_id(id),
+                attempt_number(attempt),
+                token_event{token_index(index), std::to_string(index)},
+                {}};
+    }
+    static execute_event end(std::uint64_t attempt, std::int64_t tokens) {
+        return {request_id("r1"), attempt_number(attempt), generation_end{token_count(tokens), {}, {}}, {}};
+    }
+    static execute_event refused(std::uint64_t attempt, run_state ran) {
+        return {
+            request_id("r1"), attempt_number(attempt), refusal{fail(errc::backend_broken, ""), ran, {}}, {}};
+    }
+
+    /// Reads the generation to its end and returns the text with the final step.
+    std::pair<std::string, generation_run::step> read_all() {
+        generation_run run(m_request, m_hooks);
+        std::string text;
+        generation_run::step step = run.next();
+        while (const auto* each = std::get_if<token_event>(&step)) {
+            text += each->text;
+            step = run.next();
+        }
+        return {text, step};
+    }
+
+    caller_request m_request;
+    request_hooks m_hooks;
+    std::deque<script> m_scripts;
+    std::vector<execute_request> m_attempts;
+    time_point m_now{seconds(1000)};
+    int m_retries = 0;
+    int m_closed = 0;
+};
+
+// Guards against lost or doubled tokens when an engine crashes in the middle of an answer.
+TEST_F(request_path_fixture, generation_after_a_crash_resumes_at_the_next_token) {
+    m_scripts = {{token(1, 0), fail(errc::agent_broken, "")},
+                 {token(2, 0), token(2, 1), token(2, 2), end(2, 3)}};
+    const auto [text, last] = read_all();
+    EXPECT_EQ(text, "012");
+    EXPECT_TRUE(std::holds_alternative<generation_end>(last));
+    const auto& resumed = std::get<generate_work>(m_attempts.at(1).work);
+    EXPECT_EQ(resumed.resume_from, token_index(1));
+    EXPECT_EQ(resumed.resumed_text, "0");
+    EXPECT_EQ(m_closed, 2);
+}
+
+// Guards against another request's tokens in an answer.
+TEST_F(request_path_fixture, generation_with_a_foreign_token_drops_the_attempt) {
+    m_scripts = {{token(1, 0), token(1, 1, "r2")}, {token(2, 1), token(2, 2), end(2, 3)}};
+    EXPECT_EQ(read_all().first, "012");
+}
+
+// Guards against events of an abandoned attempt that arrive late.
+TEST_F(request_path_fixture, generation_with_a_late_event_of_an_earlier_attempt_drops_it) {
+    m_scripts = {
+        {token(1, 0), fail(errc::agent_broken, "")}, {token(1, 1)}, {token(3, 1), token(3, 2), end(3, 3)}};
+    EXPECT_EQ(read_all().first, "012");
+}
+
+// Guards against an answer that is passed on with a hole.
+TEST_F(request_path_fixture, generation_with_a_gap_is_resumed) {
+    m_scripts = {{token(1, 0), token(1, 2)}, {token(2, 1), token(2, 2), end(2, 3)}};
+    EXPECT_EQ(read_all().first, "012");
+}
+
+// Guards against a cut answer that looks complete.
+TEST_F(request_path_fixture, generation_that_ends_with_too_few_tokens_is_resumed) {
+    m_scripts = {{token(1, 0), end(1, 3)}, {token(2, 1), token(2, 2), end(2, 3)}};
+    EXPECT_EQ(read_all().first, "012");
+}
+
+// Guards against "not run" for a generation of which an earlier attempt ran.
+TEST_F(request_path_fixture, refusal_after_an_attempt_that_ran_does_not_say_not_run) {
+    m_scripts = {
+        {refused(1, run_state::ran)}, {refused(2, run_state::not_run)}, {refused(3, run_state::not_run)}};
+    const auto last = read_all().second;
+    ASSERT_TRUE(std::holds_alternative<refusal>(last));
+    EXPECT_EQ(std::get<refusal>(last).ran, run_state::ran);
+}
+
+TEST_F(request_path_fixture, refusal_after_attempts_that_did_not_run_says_not_run) {
+    m_scripts = {
+        {refused(1, run_state::not_run)}, {refused(2, run_state::not_run)}, {refused(3, run_state::not_run)}};
+    EXPECT_EQ(std::get<refusal>(read_all().second).ran, run_state::not_run);
+}
+
+// Guards against a second run of a call that may not be repeated.
+TEST_F(request_path_fixture, call_that_may_not_be_repeated_is_not_sent_again_after_a_broken_attempt) {
+    call_work work;
+    work.repeatable = false;
+    m_request.work = work;
+    m_scripts = {{fail(errc::agent_unreachable, "")}};
+    const auto outcome = run_call(m_request, m_hooks);
+    ASSERT_TRUE(std::holds_alternative<refusal>(outcome));
+    EXPECT_EQ(std::get<refusal>(outcome).ran, run_state::outcome_unknown);
+    EXPECT_EQ(m_attempts.size(), 1U);
+}
+
+// Guards against a booking that is given up although its first server proved that it did not run.
+TEST_F(request_path_fixture, call_that_may_not_be_repeated_goes_elsewhere_after_not_run) {
+    call_work work;
+    work.repeatable = false;
+    m_request.work = work;
+    m_scripts = {{refused(1, run_state::not_run)},
+                 {execute_event{request_id("r1"), attempt_number(2), plain_answer{200, "", "ok"}, {}}}};
+    const auto outcome = run_call(m_request, m_hooks);
+    ASSERT_TRUE(std::holds_alternative<plain_answer>(outcome));
+    EXPECT_EQ(std::get<plain_answer>(outcome).body, "ok");
+}
+
+// Guards against an answer that reaches the caller of another request.
+TEST_F(request_path_fixture, call_with_a_crossed_answer_is_repeated_if_allowed) {
+    m_request.work = call_work{};
+    m_scripts = {{execute_event{request_id("r2"), attempt_number(1), plain_answer{200, "", "other"}, {}}},
+                 {execute_event{request_id("r1"), attempt_number(2), plain_answer{200, "", "own"}, {}}}};
+    EXPECT_EQ(std::get<plain_answer>(run_call(m_request, m_hooks)).body, "own");
+}
+
+// Guards against "not run" for a call of which an earlier attempt may have run.
+TEST_F(request_path_fixture, call_after_an_unknown_attempt_never_says_not_run) {
+    m_request.work = call_work{};
+    m_scripts = {{fail(errc::agent_unreachable, "")},
+                 {refused(2, run_state::not_run)},
+                 {refused(3, run_state::not_run)}};
+    EXPECT_EQ(std::get<refusal>(run_call(m_request, m_hooks)).ran, run_state::outcome_unknown);
+}
+
+} // namespace parsleypitch
