--- a/include/parsleypitch/environment/environment.hpp
+++ b/include/parsleypitch/environment/environment.hpp
@@ -24,17 +24,23 @@
     milliseconds deadline{30'000};
     /// @brief Share of each backend server's time that the rank keeps under any load, 0 to 1.
     double floor = 0;
+
+    friend bool operator==(const rank_policy&, const rank_policy&) = default;
 };
 
 struct availability_zone_spec {
     availability_zone_id id;
     std::string region;
+
+    friend bool operator==(const availability_zone_spec&, const availability_zone_spec&) = default;
 };
 
 struct model_spec {
     model_id id;
     model_version version;
     std::vector<adapter_id> adapters;
+
+    friend bool operator==(const model_spec&, const model_spec&) = default;
 };
 
 /// @brief An operation of a plain service.
@@ -42,11 +48,15 @@
     operation_id id;
     /// @brief A call that may not be repeated needs an `Idempotency-Key` and runs at most once.
     bool repeatable = true;
+
+    friend bool operator==(const operation_spec&, const operation_spec&) = default;
 };
 
 struct plain_service_spec {
     plain_service_id id;
     std::vector<operation_spec> operations;
+
+    friend bool operator==(const plain_service_spec&, const plain_service_spec&) = default;
 };
 
 struct backend_server_spec {
@@ -58,6 +68,8 @@
     plain_service_id plain_service;
     /// @brief The engine refuses orders with an old fencing number by itself.
     bool checks_fencing = false;
+
+    friend bool operator==(const backend_server_spec&, const backend_server_spec&) = default;
 };
 
 struct account_spec {
@@ -67,6 +79,8 @@
     rank highest_rank = rank::bulk;
     /// @brief Share among the accounts of one rank, relative to the others.
     double weight = 1;
+
+    friend bool operator==(const account_spec&, const account_spec&) = default;
 };
 
 /// @brief The parsed document of one environment.
@@ -78,6 +92,8 @@
     std::vector<plain_service_spec> plain_services;
     std::vector<backend_server_spec> backend_servers;
     std::vector<account_spec> accounts;
+
+    friend bool operator==(const environment&, const environment&) = default;
 };
 
 /// @brief Outcome of parsing a document: all mistakes at once.
--- /dev/null
+++ b/src/configuration/config_adoption.cpp
@@ -0,0 +1,88 @@
+#include <parsleypitch/configuration/config_adoption.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+config_adoption::config_adoption(std::set<endpoint> zone_peers) : m_zone_peers(std::move(zone_peers)) {
+}
+
+void config_adoption::take_offer(const config_offer& offer, time_point now) {
+    m_highest_known = std::max(m_highest_known, offer.version);
+    note_proof(offer.version, now - offer.proof_age);
+}
+
+void config_adoption::peer_answered(const endpoint& peer, config_version version) {
+    if (version.value() == 0 || m_zone_peers.find(peer) == m_zone_peers.end()) {
+        return;
+    }
+    m_answered.insert(peer);
+    m_highest_known = std::max(m_highest_known, version);
+    update_service();
+}
+
+void config_adoption::store_confirmed(config_version version, time_point confirmed_at) {
+    m_highest_known = std::max(m_highest_known, version);
+    m_store_answered = true;
+    note_proof(version, confirmed_at);
+    update_service();
+}
+
+bool config_adoption::take_content(config_version version) {
+    if (version <= m_at_hand) {
+        return false;
+    }
+    m_at_hand = version;
+    m_highest_known = std::max(m_highest_known, version);
+    if (m_pending_version <= m_at_hand) {
+        note_proof(m_pending_version, m_pending_at);
+    }
+    update_service();
+    return true;
+}
+
+std::optional<config_version> config_adoption::wanted() const {
+    return m_highest_known > m_at_hand ? std::optional(m_highest_known) : std::nullopt;
+}
+
+config_version config_adoption::in_force() const noexcept {
+    return m_serves ? m_at_hand : config_version();
+}
+
+std::optional<time_point> config_adoption::proven_at() const {
+    return m_serves ? m_proof_at : std::nullopt;
+}
+
+bool config_adoption::proven(time_point now) const {
+    return is_proof_valid(proven_at(), now);
+}
+
+/// A proof that the head was not above the version at hand shows that nothing accepted before it is missing.
+/// A proof of a higher version counts only when its content is at hand; the older proof stays valid until
+/// then.
+void config_adoption::note_proof(config_version version, time_point at) {
+    if (version.value() == 0) {
+        return;
+    }
+    if (version <= m_at_hand) {
+        m_proof_at = std::max(m_proof_at.value_or(at), at);
+    } else if (version > m_pending_version || (version == m_pending_version && at > m_pending_at)) {
+        m_pending_version = version;
+        m_pending_at = at;
+    }
+}
+
+void config_adoption::update_service() {
+    const bool evidence = m_store_answered || enough_peers();
+    m_serves = m_serves || (evidence && m_at_hand.value() > 0 && m_at_hand >= m_highest_known);
+}
+
+bool config_adoption::enough_peers() const noexcept {
+    return !m_answered.empty() && 2 * m_answered.size() >= m_zone_peers.size();
+}
+
+bool is_proof_valid(std::optional<time_point> proven_at, time_point now) noexcept {
+    return proven_at && now - *proven_at < proof_lifetime;
+}
+
+} // namespace parsleypitch
