--- a/src/environment/environment.cpp
+++ b/src/environment/environment.cpp
@@ -2,6 +2,8 @@
 
 #include <parsleypitch/environment/environment.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <set>
 
 namespace parsleypitch {
@@ -47,9 +49,25 @@
     return ids;
 }
 
+/// Ids become parts of object keys and of URLs, so that only unreserved characters are allowed.
+bool is_plain_name(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':' || c == '@';
+    });
+}
+
+void check_name(toml_reader& reader, std::string_view key, const std::string& text) {
+    constexpr std::size_t max_name = 200;
+    if (!is_plain_name(text) || text.size() > max_name) {
+        reader.report(key, errc::out_of_range,
+                      "expected at most 200 letters, digits or characters of -_.:@, got " + text);
+    }
+}
+
 /// Reports an id that occurs for the second time in its list.
 template <class Id>
 void check_unique(toml_reader& reader, std::set<Id>& seen, const Id& id) {
+    check_name(reader, "id", id.str());
     if (!id.empty() && !seen.insert(id).second) {
         reader.report("id", errc::duplicate_entry, id.str() + " is defined twice");
     }
@@ -63,6 +81,17 @@
     }
 }
 
+void check_adapters(toml_reader& reader, const std::vector<adapter_id>& adapters) {
+    std::set<adapter_id> seen;
+    for (const adapter_id& adapter : adapters) {
+        if (adapter.empty()) {
+            reader.report("adapters", errc::out_of_range, "expected strings that are not empty");
+        } else if (!seen.insert(adapter).second) {
+            reader.report("adapters", errc::duplicate_entry, adapter.str() + " is listed twice");
+        }
+    }
+}
+
 plain_service_spec read_plain_service(toml_reader& reader) {
     plain_service_spec spec;
     spec.id = plain_service_id(reader.text("id"));
@@ -82,13 +111,14 @@
     account_spec spec;
     spec.id = caller_id(reader.text("id"));
     spec.key_sha256 = reader.text("key_sha256");
-    if (spec.key_sha256.size() != 64 ||
-        spec.key_sha256.find_first_not_of("0123456789abcdef") != std::string::npos) {
+    if (!spec.key_sha256.empty() &&
+        (spec.key_sha256.size() != 64 ||
+         spec.key_sha256.find_first_not_of("0123456789abcdef") != std::string::npos)) {
         reader.report("key_sha256", errc::out_of_range, "expected 64 lower-case hexadecimal digits");
     }
     const std::string highest = reader.text("highest_rank");
     const auto parsed = parse_rank(highest);
-    if (!parsed) {
+    if (!parsed && !highest.empty()) {
         reader.report("highest_rank", errc::out_of_range, "expected urgent, normal or bulk, got " + highest);
     }
     spec.highest_rank = parsed.value_or(rank::bulk);
@@ -104,6 +134,7 @@
     void read() {
         toml_reader head = m_root.table("environment");
         m_value.name = environment_name(head.text("name"));
+        check_name(head, "name", m_value.name.str());
         head.finish();
         read_ranks(m_root, m_value);
         read_zones();
@@ -133,6 +164,7 @@
             spec.version = model_version(reader.text("version"));
             spec.adapters = to_ids<adapter_id>(reader.texts("adapters"));
             check_unique(reader, m_models, spec.id);
+            check_adapters(reader, spec.adapters);
             reader.finish();
             m_value.models.push_back(std::move(spec));
         }
@@ -170,8 +202,12 @@
 
     void read_accounts() {
         std::set<caller_id> seen;
+        std::set<std::string> keys;
         for (toml_reader& reader : m_root.tables("account")) {
             account_spec spec = read_account(reader);
+            if (!spec.key_sha256.empty() && !keys.insert(spec.key_sha256).second) {
+                reader.report("key_sha256", errc::duplicate_entry, "another account has the same key");
+            }
             check_unique(reader, seen, spec.id);
             reader.finish();
             m_value.accounts.push_back(std::move(spec));
