Add lease state machine and authority service

A holder's validity ends 5 s after it was about to send its last renewal, and a candidate waits 7 s after it first read the version, so that the margin of 1 s holds on both sides. A failed write is retried after the read period.

--- /dev/null
+++ b/include/parsleypitch/lease/authority_service.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/lease/lease_state.hpp>
+#include <parsleypitch/platform/object_store.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace parsleypitch {
+
+/// @brief Hooks and periods of `authority_service`; the on_* hooks run on the control thread.
+struct authority_options {
+    object_store store;
+    lease_holder self;
+    clock_hook clock;
+    /// @brief Waits between attempts of one write; called on a worker thread.
+    back_off_hook back_off;
+    /// @brief Whether this process reads and seeks the lease, so that few processes load the store.
+    std::function<bool()> is_candidate = [] { return true; };
+    std::function<void(fencing_number)> on_acquired = [](fencing_number) {};
+    std::function<void()> on_lost = [] {};
+    /// @brief Period of the checks on the control thread.
+    milliseconds check_period{100};
+    /// @brief Period of the reads by a candidate, and the wait after a failed write.
+    milliseconds read_period{1000};
+};
+
+/// @brief Runs the lease state machine for `lease/authority`; the control thread owns the state.
+class authority_service final : public service, public std::enable_shared_from_this<authority_service> {
+  public:
+    explicit authority_service(authority_options options);
+
+    [[nodiscard]] service_name name() const override { return service_name("authority"); }
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void stop() override;
+
+    /// @brief The fencing number of the valid term; to be called on the control thread only.
+    /// @return `lease_not_held` if this process may not act under the lease
+    [[nodiscard]] result<fencing_number> current(time_point now) const;
+
+  private:
+    void check();
+    void announce(time_point now);
+    void start_read(time_point now);
+    void start_write(time_point now);
+    void finish_read(const result<stored_lease>& read);
+    void finish_write(const lease_proposal& proposal, const result<applied_write>& written,
+                      time_point sent_at);
+    void run_on_worker(std::function<std::function<void(authority_service&)>()> call);
+
+    authority_options m_options;
+    conditional_writer m_writer;
+    lease_state m_state;
+    kernel* m_kernel = nullptr;
+    std::optional<fencing_number> m_announced;
+    std::optional<time_point> m_next_read;
+    std::optional<time_point> m_next_write;
+    std::uint64_t m_write_sequence = 0;
+    bool m_call_in_progress = false;
+    bool m_stopped = false;
+};
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/lease/authority_service.cpp
@@ -0,0 +1,163 @@
+#include "lease_codec.hpp"
+
+#include <parsleypitch/lease/authority_service.hpp>
+
+#include <glog/logging.h>
+
+namespace parsleypitch {
+
+namespace detail {
+
+const object_key& lease_key() {
+    static const object_key key("lease/authority");
+    return key;
+}
+
+result<write_history> lease_history(const std::string& bytes) {
+    auto value = decode_lease(bytes);
+    if (!value) {
+        return value.error();
+    }
+    return std::move(value.value().writes);
+}
+
+result<stored_lease> read_lease(const object_store& store) {
+    const auto read = store.get(lease_key());
+    if (!read) {
+        return read.error().code == errc::object_not_found ? result<stored_lease>(stored_lease{})
+                                                           : result<stored_lease>(read.error());
+    }
+    auto value = decode_lease(read.value().bytes);
+    if (!value) {
+        return value.error();
+    }
+    return stored_lease{read.value().version, std::move(value.value())};
+}
+
+} // namespace detail
+
+authority_service::authority_service(authority_options options)
+    : m_options(std::move(options)), m_writer(m_options.store, detail::lease_history, m_options.back_off),
+      m_state(m_options.self) {
+}
+
+result<void> authority_service::start(kernel& host) {
+    m_kernel = &host;
+    host.every(m_options.check_period, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->check();
+        }
+    });
+    return success();
+}
+
+void authority_service::stop() {
+    m_kernel->post_control([self = shared_from_this()] { self->m_stopped = true; });
+}
+
+result<fencing_number> authority_service::current(time_point now) const {
+    return m_state.current(now);
+}
+
+void authority_service::check() {
+    const time_point now = m_options.clock();
+    announce(now);
+    if (m_call_in_progress || m_stopped) {
+        return;
+    }
+    const bool may_read = !m_next_read || now >= *m_next_read;
+    const bool may_write = !m_next_write || now >= *m_next_write;
+    switch (m_state.next(now)) {
+    case lease_action::renew:
+        if (may_write) {
+            start_write(now);
+        }
+        break;
+    case lease_action::acquire:
+        if (may_write && m_options.is_candidate()) {
+            start_write(now);
+        }
+        break;
+    case lease_action::wait:
+        if (may_read && m_options.is_candidate()) {
+            start_read(now);
+        }
+        break;
+    case lease_action::nothing:
+        break;
+    }
+}
+
+void authority_service::announce(time_point now) {
+    const auto term = m_state.current(now);
+    if (m_announced && (!term || term.value() != *m_announced)) {
+        LOG(WARNING) << "authority: lost term " << *m_announced;
+        m_announced.reset();
+        if (!term) {
+            m_state.give_up();
+        }
+        m_options.on_lost();
+    }
+    if (!m_announced && term) {
+        LOG(INFO) << "authority: acquired term " << term.value();
+        m_announced = term.value();
+        m_options.on_acquired(term.value());
+    }
+}
+
+void authority_service::run_on_worker(std::function<std::function<void(authority_service&)>()> call) {
+    m_call_in_progress = true;
+    m_kernel->post_worker([self = shared_from_this(), call = std::move(call)] {
+        self->m_kernel->post_control([self, finish = call()] {
+            self->m_call_in_progress = false;
+            finish(*self);
+        });
+    });
+}
+
+void authority_service::start_read(time_point now) {
+    m_next_read = now + m_options.read_period;
+    run_on_worker([store = m_options.store] {
+        return [read = detail::read_lease(store)](authority_service& self) { self.finish_read(read); };
+    });
+}
+
+void authority_service::start_write(time_point now) {
+    const write_id id("authority-" + m_options.self.id.str() + "-" +
+                      std::to_string(m_options.self.born.value()) + "-" + std::to_string(++m_write_sequence));
+    const lease_proposal proposal = m_state.propose(now, id);
+    run_on_worker([writer = m_writer, proposal, id, now] {
+        const auto written = writer.write({detail::lease_key(), proposal.expected, proposal.base, id,
+                                           detail::encode_lease(proposal.value)});
+        return
+            [proposal, written, now](authority_service& self) { self.finish_write(proposal, written, now); };
+    });
+}
+
+void authority_service::finish_read(const result<stored_lease>& read) {
+    const time_point now = m_options.clock();
+    if (read) {
+        m_state.observe(read.value(), now);
+    } else {
+        LOG(WARNING) << "authority: reading the lease failed: " << to_string(read.error());
+    }
+    announce(now);
+}
+
+void authority_service::finish_write(const lease_proposal& proposal, const result<applied_write>& written,
+                                     time_point sent_at) {
+    const time_point now = m_options.clock();
+    if (written && !written.value().superseded) {
+        m_state.written(proposal, written.value().version, sent_at);
+        announce(now);
+        return;
+    }
+    if (!written) {
+        LOG(WARNING) << "authority: writing the lease failed: " << to_string(written.error());
+    }
+    m_next_write = now + m_options.read_period;
+    // The stored lease may have changed, so that the next attempt needs what is stored now.
+    start_read(now);
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/lease/lease_state.cpp
@@ -0,0 +1,53 @@
+#include <parsleypitch/lease/lease_state.hpp>
+
+namespace parsleypitch {
+
+void lease_state::observe(const stored_lease& seen, time_point read_at) {
+    if (m_seen && seen.version <= m_seen->version) {
+        return;
+    }
+    m_seen = seen;
+    m_first_seen = read_at;
+    if (m_term && (seen.value.holder != m_self || seen.value.term != *m_term)) {
+        give_up();
+    }
+}
+
+lease_action lease_state::next(time_point now) const {
+    if (valid(now)) {
+        return now - m_sent_at >= lease_renewal_period ? lease_action::renew : lease_action::nothing;
+    }
+    if (!m_seen) {
+        return lease_action::wait;
+    }
+    // This process no longer acts under its own expired term, so that nobody else has to wait for it.
+    const bool free = m_seen->version == object_version(0) || m_seen->value.holder == m_self;
+    const bool expired = now - m_first_seen >= lease_duration + lease_margin;
+    return free || expired ? lease_action::acquire : lease_action::wait;
+}
+
+lease_proposal lease_state::propose(time_point now, const write_id& id) const {
+    const stored_lease base = m_seen.value_or(stored_lease{});
+    const fencing_number term = valid(now) ? *m_term : base.value.term.next();
+    return {base.version, base.value.writes, {term, m_self, extended(base.value.writes, id)}};
+}
+
+void lease_state::written(const lease_proposal& proposal, object_version version, time_point sent_at) {
+    m_seen = stored_lease{version, proposal.value};
+    m_first_seen = sent_at;
+    m_term = proposal.value.term;
+    m_sent_at = sent_at;
+}
+
+bool lease_state::valid(time_point now) const {
+    return m_term && now - m_sent_at < lease_duration - lease_margin;
+}
+
+result<fencing_number> lease_state::current(time_point now) const {
+    if (!valid(now)) {
+        return fail(errc::lease_not_held, m_self.id.str());
+    }
+    return *m_term;
+}
+
+} // namespace parsleypitch
