--- a/src/agent/backend_monitor.cpp
+++ b/src/agent/backend_monitor.cpp
@@ -25,7 +25,7 @@
     m_kernel = &host;
     m_sender = std::make_unique<heartbeat_sender>(
         host,
-        [this](const endpoint& from, const v1::HeartbeatReply& reply) {
+        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration) {
             const time_point now = std::chrono::steady_clock::now();
             for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
                 m_directory.learn(
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,9 +1,49 @@
 #include "cli/commands.hpp"
 
+#include "cli/role_commands.hpp"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
 namespace parsleypitch::cli {
 
+namespace {
+
+/// A command that runs a process of the system from its settings file.
+command role_command(const std::string& name, const std::string& summary,
+                     std::function<int(const std::string&)> run) {
+    return {name, summary, [name, summary, run = std::move(run)](const std::vector<std::string>& arguments) {
+                cxxopts::Options options("parsleypitch " + name, summary);
+                options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(), "FILE")(
+                    "h,help", "print this help");
+                std::vector<const char*> argv = {"parsleypitch"};
+                for (const std::string& argument : arguments) {
+                    argv.push_back(argument.c_str());
+                }
+                try {
+                    const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+                    if (parsed.count("help") > 0) {
+                        std::cout << options.help();
+                        return exit_success;
+                    }
+                    if (parsed.count("settings") == 0) {
+                        std::cerr << "parsleypitch " << name << ": the option --settings FILE is required\n";
+                        return exit_usage;
+                    }
+                    return run(parsed["settings"].as<std::string>());
+                } catch (const cxxopts::exceptions::exception& problem) {
+                    std::cerr << "parsleypitch " << name << ": " << problem.what() << '\n';
+                    return exit_usage;
+                }
+            }};
+}
+
+} // namespace
+
 std::vector<command> all_commands() {
-    return {};
+    return {role_command("entry", "run an entry host", run_entry),
+            role_command("agent", "run the agent beside a backend server", run_agent)};
 }
 
 } // namespace parsleypitch::cli
--- a/src/entry/membership_service.cpp
+++ b/src/entry/membership_service.cpp
@@ -1,5 +1,6 @@
 #include "entry/membership_service.hpp"
 
+#include "entry/config_exchange.hpp"
 #include "wire/convert.hpp"
 
 #include <glog/logging.h>
@@ -32,7 +33,9 @@
 result<void> membership_service::start(kernel& host) {
     m_kernel = &host;
     m_sender = std::make_unique<heartbeat_sender>(
-        host, [this](const endpoint& from, const v1::HeartbeatReply& reply) { take_reply(from, reply); },
+        host, [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
+            take_reply(from, reply, round_trip);
+        },
         [](const endpoint&) {});
     host.every(sweep_period, [this] { publish(); });
     host.every(heartbeat_period, [this] {
@@ -45,7 +48,7 @@
 v1::HeartbeatReply membership_service::answer(const v1::HeartbeatRequest& request) {
     m_kernel->post_control([this, request] { take(request); });
     v1::HeartbeatReply reply = *m_reply.load();
-    reply.set_config_proof_age_ms(static_cast<std::uint32_t>(m_hooks.config_proof_age().count()));
+    reply.set_config_proof_age_ms(m_hooks.config_proof_age_ms());
     return reply;
 }
 
@@ -62,7 +65,8 @@
     const bool changes_health = sender.health != member_health::live;
     if (sender.kind == member_kind::entry_host) {
         m_directory.learn({entry_host_id(sender.id), sender.zone, sender.address}, now);
-        m_hooks.on_config_offer(sender.address, sender.config, milliseconds(request.config_proof_age_ms()));
+        // How long the request was under way is unknown, so it carries a version but proves nothing.
+        m_hooks.on_config_offer({sender.address, sender.config, milliseconds(no_proof_ms), false});
     }
     m_table.observe_heartbeat(std::move(sender), now);
     for (const v1::MemberRecord& record : request.digest()) {
@@ -74,7 +78,7 @@
     }
 }
 
-void membership_service::take_reply(const endpoint& from, const v1::HeartbeatReply& reply) {
+void membership_service::take_reply(const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
     const time_point now = std::chrono::steady_clock::now();
     for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
         const endpoint address(each.address());
@@ -84,8 +88,9 @@
         }
     }
     m_directory.answered(from, now);
-    m_hooks.on_config_offer(from, config_version(reply.config_version()),
-                            milliseconds(reply.config_proof_age_ms()));
+    const auto waited = std::chrono::ceil<milliseconds>(round_trip);
+    m_hooks.on_config_offer(
+        {from, config_version(reply.config_version()), milliseconds(reply.config_proof_age_ms()) + waited, true});
 }
 
 member membership_service::own_record() const {
@@ -132,7 +137,7 @@
     const bool relay = is_relay();
     v1::HeartbeatRequest own_zone;
     *own_zone.mutable_sender() = wire::to_wire(own_record(), now);
-    own_zone.set_config_proof_age_ms(static_cast<std::uint32_t>(m_hooks.config_proof_age().count()));
+    own_zone.set_config_proof_age_ms(m_hooks.config_proof_age_ms());
     v1::HeartbeatRequest other_zone = own_zone;
     if (relay) {
         add_digest(own_zone, now, true);
--- a/src/entry/membership_service.hpp
+++ b/src/entry/membership_service.hpp
@@ -11,14 +11,24 @@
 
 namespace parsleypitch::detail {
 
+/// @brief A configuration version that a peer names in a heartbeat or in its answer to one.
+struct config_offer_from {
+    endpoint peer;
+    config_version version;
+    /// @brief Age of the peer's proof, counted from when this host sent its request.
+    milliseconds proof_age{0};
+    /// @brief The peer answered a request of this host.
+    bool answered = false;
+};
+
 /// @brief Hooks through which other services of an entry host take part in heartbeats.
 struct membership_hooks {
     /// @brief Fills the fields of this host's own record, on the control thread.
     std::function<void(member& own)> fill_own;
-    /// @brief Age of this host's proof of its configuration.
-    std::function<milliseconds()> config_proof_age;
+    /// @brief Age of this host's proof of its configuration, or `no_proof_ms`.
+    std::function<std::uint32_t()> config_proof_age_ms;
     /// @brief Sees a configuration version that a peer offers, on the control thread.
-    std::function<void(const endpoint& peer, config_version version, milliseconds proof_age)> on_config_offer;
+    std::function<void(const config_offer_from&)> on_config_offer;
     /// @brief Reads the platform's host list on a worker thread.
     host_list_hook host_list;
 };
@@ -44,7 +54,7 @@
 
   private:
     void take(const v1::HeartbeatRequest& request);
-    void take_reply(const endpoint& from, const v1::HeartbeatReply& reply);
+    void take_reply(const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip);
     void send_heartbeats();
     void add_digest(v1::HeartbeatRequest& request, time_point now, bool to_own_zone) const;
     void read_host_list();
--- a/src/membership/heartbeat_sender.cpp
+++ b/src/membership/heartbeat_sender.cpp
@@ -17,6 +17,7 @@
     grpc::ClientContext context;
     v1::HeartbeatRequest request;
     v1::HeartbeatReply reply;
+    time_point sent = std::chrono::steady_clock::now();
 };
 
 } // namespace
@@ -61,7 +62,8 @@
                                  const std::lock_guard lock(state->mutex);
                                  if (!state->stopped) {
                                      state->host->post_control([state, to, call, ok = status.ok()] {
-                                         ok ? state->on_reply(to, call->reply) : state->on_failure(to);
+                                         ok ? state->on_reply(to, call->reply, std::chrono::steady_clock::now() - call->sent)
+                                            : state->on_failure(to);
                                      });
                                  }
                                  state->calls.erase(to);
--- a/src/membership/heartbeat_sender.hpp
+++ b/src/membership/heartbeat_sender.hpp
@@ -14,7 +14,9 @@
 /// @brief Sends heartbeats to entry hosts without blocking a thread; replies arrive on the control thread.
 class heartbeat_sender {
   public:
-    using reply_hook = std::function<void(const endpoint& from, const v1::HeartbeatReply& reply)>;
+    /// The round trip is at least the time between sending the request and handling the reply.
+    using reply_hook =
+        std::function<void(const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip)>;
     using failure_hook = std::function<void(const endpoint& to)>;
 
     /// @param host must outlive the sender's calls
