--- a/include/parsleypitch/configuration/config_store.hpp
+++ b/include/parsleypitch/configuration/config_store.hpp
@@ -53,7 +53,9 @@
 /// All calls block and run on worker threads or in operator commands.
 class config_store {
   public:
-    config_store(object_store store, environment_name name, write_id_hook next_id, store_wait_hook wait);
+    /// @param max_attempts calls that each step may make before it fails
+    config_store(object_store store, environment_name name, write_id_hook next_id, store_wait_hook wait,
+                 unsigned max_attempts = config_store_attempts);
 
     /// @brief Reads the head; an environment without any has version 0.
     [[nodiscard]] result<config_head> read_head() const;
@@ -90,13 +92,12 @@
     /// @return false if the key holds other bytes
     [[nodiscard]] result<bool> create_object(const object_key& key, const std::string& bytes) const;
     [[nodiscard]] result<void> update_head(const config_head& base, const config_entry& entry) const;
-    /// Finds out after a conflict whether the update under `id` took effect.
-    [[nodiscard]] result<void> resolve_conflict(object_version base, const write_id& id) const;
 
     object_store m_store;
     environment_name m_name;
     write_id_hook m_next_id;
     store_wait_hook m_wait;
+    unsigned m_max_attempts;
 };
 
 } // namespace parsleypitch
--- a/src/configuration/config_store.cpp
+++ b/src/configuration/config_store.cpp
@@ -1,6 +1,7 @@
 #include "configuration/head_codec.hpp"
 
 #include <parsleypitch/configuration/config_store.hpp>
+#include <parsleypitch/platform/conditional_writer.hpp>
 
 #include <algorithm>
 
@@ -18,18 +19,33 @@
            failure.code == errc::platform_unreachable;
 }
 
-/// Calls `attempt` again after a transient failure, at most `config_store_attempts` times in all.
+/// Calls `attempt` again after a transient failure, at most `max_attempts` times in all.
 template <class Call>
-auto repeat(const store_wait_hook& wait, Call call) -> decltype(call()) {
+auto repeat(const store_wait_hook& wait, unsigned max_attempts, Call call) -> decltype(call()) {
     auto answer = call();
-    for (unsigned attempt = 1; attempt < config_store_attempts && !answer && is_transient(answer.error());
-         ++attempt) {
+    for (unsigned attempt = 1; attempt < max_attempts && !answer && is_transient(answer.error()); ++attempt) {
         wait(attempt);
         answer = call();
     }
     return answer;
 }
 
+write_history writers_of(const std::vector<config_entry>& entries) {
+    write_history writers;
+    for (const config_entry& entry : entries) {
+        writers.push_back(entry.writer);
+    }
+    return writers;
+}
+
+result<write_history> writers_in(const std::string& bytes) {
+    const auto entries = decode_head(bytes);
+    if (!entries) {
+        return entries.error();
+    }
+    return writers_of(entries.value());
+}
+
 std::size_t chunk_count(std::size_t size) {
     return std::max<std::size_t>(1, (size + chunk_bytes - 1) / chunk_bytes);
 }
@@ -37,9 +53,9 @@
 } // namespace detail
 
 config_store::config_store(object_store store, environment_name name, write_id_hook next_id,
-                           store_wait_hook wait)
+                           store_wait_hook wait, unsigned max_attempts)
     : m_store(std::move(store)), m_name(std::move(name)), m_next_id(std::move(next_id)),
-      m_wait(std::move(wait)) {
+      m_wait(std::move(wait)), m_max_attempts(max_attempts) {
 }
 
 object_key config_store::head_key() const {
@@ -52,7 +68,7 @@
 }
 
 result<config_head> config_store::read_head() const {
-    const auto object = detail::repeat(m_wait, [this] { return m_store.get(head_key()); });
+    const auto object = detail::repeat(m_wait, m_max_attempts, [this] { return m_store.get(head_key()); });
     if (!object) {
         if (object.error().code == errc::object_not_found) {
             return config_head{};
@@ -79,7 +95,7 @@
     const std::size_t chunks = detail::chunk_count(static_cast<std::size_t>(entry.size.value()));
     for (std::size_t i = 0; i < chunks; ++i) {
         const object_key key = chunk_key(entry.version, i);
-        auto object = detail::repeat(m_wait, [this, &key] { return m_store.get(key); });
+        auto object = detail::repeat(m_wait, m_max_attempts, [this, &key] { return m_store.get(key); });
         if (!object) {
             return object.error();
         }
@@ -175,14 +191,15 @@
 
 /// The content is immutable, so that equal bytes at the key are as good as a write of its own.
 result<bool> config_store::create_object(const object_key& key, const std::string& bytes) const {
-    const auto created = detail::repeat(m_wait, [&] { return m_store.put(key, bytes, object_version()); });
+    const auto created =
+        detail::repeat(m_wait, m_max_attempts, [&] { return m_store.put(key, bytes, object_version()); });
     if (created) {
         return true;
     }
     if (created.error().code != errc::version_conflict) {
         return created.error();
     }
-    const auto present = detail::repeat(m_wait, [&] { return m_store.get(key); });
+    const auto present = detail::repeat(m_wait, m_max_attempts, [&] { return m_store.get(key); });
     if (!present) {
         return present.error();
     }
@@ -196,44 +213,16 @@
         entries.erase(entries.begin(), entries.end() - kept_config_entries);
     }
     const std::string bytes = detail::encode_head(entries);
-    bool lost = false;
-    const auto updated = detail::repeat(m_wait, [&] {
-        auto answer = m_store.put(head_key(), bytes, base.object);
-        lost = lost || (!answer && answer.error().code == errc::platform_answer_lost);
-        return answer;
-    });
-    if (updated) {
+    const conditional_writer writer(m_store, detail::writers_in, m_wait, m_max_attempts);
+    const auto written =
+        writer.write({head_key(), base.object, detail::writers_of(base.entries), entry.writer, bytes});
+    if (written) {
         return success();
     }
-    if (updated.error().code == errc::version_conflict) {
-        return resolve_conflict(base.object, entry.writer);
-    }
-    if (lost) {
-        return fail(errc::platform_answer_lost, head_key().str() + ": unknown whether version " +
-                                                    std::to_string(entry.version.value()) + " was accepted");
-    }
-    return updated.error();
-}
-
-/// A conflict proves that the head has left version `base`, so that a read that still shows it is stale.
-result<void> config_store::resolve_conflict(object_version base, const write_id& id) const {
-    for (unsigned attempt = 1; attempt <= config_store_attempts; ++attempt) {
-        const auto head = read_head();
-        if (head && head.value().object > base) {
-            const auto& entries = head.value().entries;
-            const bool applied = std::any_of(entries.begin(), entries.end(),
-                                             [&id](const config_entry& entry) { return entry.writer == id; });
-            if (applied) {
-                return success();
-            }
-            return fail(errc::config_raced, m_name.str() + ": version " +
-                                                std::to_string(head.value().version().value()) +
-                                                " was accepted by another operator");
-        }
-        m_wait(attempt);
+    if (written.error().code == errc::version_conflict) {
+        return fail(errc::config_raced, m_name.str() + ": another operator's version was accepted first");
     }
-    return fail(errc::platform_answer_lost,
-                head_key().str() + ": the outcome of the update could not be read");
+    return written.error();
 }
 
 } // namespace parsleypitch
--- a/tests/fault_store.hpp
+++ b/tests/fault_store.hpp
@@ -1,53 +1,65 @@
 #pragma once
 
-#include <parsleypitch/platform/object_store.hpp>
+#include "memory_object_store.hpp"
+
+#include <gtest/gtest.h>
 
 #include <deque>
 #include <map>
-#include <mutex>
 
 namespace parsleypitch {
 
-/// Store in memory that fails on request; all hooks are safe to call from several threads.
+/// A `memory_object_store` whose faults are planned by key, one for each call; for use from one thread at a
+/// time.
 class fault_store {
   public:
     enum class fault { none, refuse, lose_before, lose_after, stale };
 
     [[nodiscard]] object_store hooks() {
-        object_store store;
-        store.get = [this](const object_key& key) { return get(key); };
-        store.put = [this](const object_key& key, const std::string& bytes, object_version expected) {
-            return put(key, bytes, expected);
+        object_store store = m_memory.hooks();
+        store.get = [this, get = store.get](const object_key& key) -> result<stored_object> {
+            ++m_reads[key];
+            const fault planned = take(m_read_faults[key]);
+            const auto present = get(key);
+            if (planned == fault::stale) {
+                return m_previous.at(key);
+            }
+            if (m_down) {
+                return fail(errc::platform_unreachable, "down");
+            }
+            return present;
         };
-        store.watch = [this](const object_key& prefix, object_version after, milliseconds) {
-            return watch(prefix, after);
+        store.put = [this, get = store.get, put = store.put](const object_key& key, const std::string& bytes,
+                                                             object_version expected) {
+            return faulty_put(get, put, key, bytes, expected);
+        };
+        // The timeout passes in no time.
+        store.watch = [this, watch = store.watch](const object_key& prefix, object_version after,
+                                                  milliseconds) -> result<object_changes> {
+            if (m_down) {
+                return fail(errc::platform_unreachable, "down");
+            }
+            return watch(prefix, after, milliseconds(0));
         };
         return store;
     }
 
-    /// Fails the next writes of `key`, one fault each.
+    /// Plans the faults of the next writes of `key`.
     void fail_writes(const object_key& key, std::deque<fault> faults) {
-        const std::lock_guard lock(m_mutex);
         m_write_faults[key] = std::move(faults);
     }
+    /// Plans the faults of the next reads of `key`.
     void fail_reads(const object_key& key, std::deque<fault> faults) {
-        const std::lock_guard lock(m_mutex);
         m_read_faults[key] = std::move(faults);
     }
-    void set_down(bool down) {
-        const std::lock_guard lock(m_mutex);
-        m_down = down;
-    }
+    void set_down(bool down) { m_down = down; }
     /// Runs once before the next write of `key`.
     void before_write(const object_key& key, std::function<void()> hook) { m_before[key] = std::move(hook); }
-    void overwrite(const object_key& key, std::string bytes) {
-        const std::lock_guard lock(m_mutex);
-        store(key, std::move(bytes));
-    }
-    [[nodiscard]] std::size_t reads(const object_key& key) {
-        const std::lock_guard lock(m_mutex);
-        return m_reads[key];
+    void overwrite(const object_key& key, const std::string& bytes) {
+        const object_store store = m_memory.hooks();
+        EXPECT_TRUE(store.put(key, bytes, store.get(key).value().version));
     }
+    [[nodiscard]] std::size_t reads(const object_key& key) { return m_reads[key]; }
     [[nodiscard]] std::size_t largest() const { return m_largest; }
 
   private:
@@ -60,32 +72,12 @@
         return next;
     }
 
-    void store(const object_key& key, std::string bytes) {
-        m_largest = std::max(m_largest, bytes.size());
-        m_previous[key] = m_objects[key];
-        m_objects[key] = {key, object_version(++m_revision), std::move(bytes)};
-    }
-
-    result<stored_object> get(const object_key& key) {
-        const std::lock_guard lock(m_mutex);
-        ++m_reads[key];
-        const fault planned = take(m_read_faults[key]);
-        if (m_down || planned == fault::refuse) {
-            return fail(errc::platform_unreachable, "down");
-        }
-        const auto& source = planned == fault::stale ? m_previous : m_objects;
-        const auto found = source.find(key);
-        if (found == source.end() || found->second.version.value() == 0) {
-            return fail(errc::object_not_found, key.str());
-        }
-        return found->second;
-    }
-
-    result<object_version> put(const object_key& key, const std::string& bytes, object_version expected) {
+    template <class Get, class Put>
+    result<object_version> faulty_put(const Get& get, const Put& put, const object_key& key,
+                                      const std::string& bytes, object_version expected) {
         if (auto hook = m_before.extract(key)) {
             hook.mapped()();
         }
-        const std::lock_guard lock(m_mutex);
         const fault planned = take(m_write_faults[key]);
         if (m_down || planned == fault::refuse) {
             return fail(errc::platform_unreachable, "down");
@@ -93,44 +85,24 @@
         if (planned == fault::lose_before) {
             return fail(errc::platform_answer_lost, "lost");
         }
-        const auto found = m_objects.find(key);
-        const object_version present = found == m_objects.end() ? object_version() : found->second.version;
-        if (present != expected) {
-            return fail(errc::version_conflict, key.str());
-        }
-        if (bytes.size() > static_cast<std::size_t>(max_object_size.value())) {
-            return fail(errc::object_too_large, key.str());
+        const auto present = get(key);
+        const auto written = put(key, bytes, expected);
+        if (written) {
+            m_previous.insert_or_assign(key, present);
+            m_largest = std::max(m_largest, bytes.size());
         }
-        store(key, bytes);
-        if (planned == fault::lose_after) {
+        if (written && planned == fault::lose_after) {
             return fail(errc::platform_answer_lost, "lost");
         }
-        return object_version(m_revision);
-    }
-
-    /// Answers at once; the timeout passes in no time.
-    result<object_changes> watch(const object_key& prefix, object_version after) {
-        const std::lock_guard lock(m_mutex);
-        if (m_down) {
-            return fail(errc::platform_unreachable, "down");
-        }
-        object_changes changes{object_version(m_revision), {}};
-        for (const auto& [key, object] : m_objects) {
-            if (key.str().rfind(prefix.str(), 0) == 0 && object.version > after) {
-                changes.changed.push_back({key, object.version});
-            }
-        }
-        return changes;
+        return written;
     }
 
-    std::mutex m_mutex;
-    std::map<object_key, stored_object> m_objects;
-    std::map<object_key, stored_object> m_previous;
+    memory_object_store m_memory;
+    std::map<object_key, result<stored_object>> m_previous;
     std::map<object_key, std::deque<fault>> m_write_faults;
     std::map<object_key, std::deque<fault>> m_read_faults;
     std::map<object_key, std::function<void()>> m_before;
     std::map<object_key, std::size_t> m_reads;
-    std::uint64_t m_revision = 0;
     std::size_t m_largest = 0;
     bool m_down = false;
 };
