--- /dev/null
+++ b/standins/growing_pool.cpp
@@ -0,0 +1,44 @@
+#include "growing_pool.hpp"
+
+namespace parsleypitch::standins {
+
+void growing_pool::enqueue(std::function<void()> task) {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+        if (m_tasks.size() > m_idle && m_threads.size() < m_most_threads) {
+            m_threads.emplace_back([this] { work(); });
+        }
+    }
+    m_changed.notify_one();
+}
+
+void growing_pool::shutdown() {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    for (std::thread& each : m_threads) {
+        each.join();
+    }
+}
+
+void growing_pool::work() {
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        ++m_idle;
+        m_changed.wait(lock, [this] { return m_stopping || !m_tasks.empty(); });
+        --m_idle;
+        if (m_tasks.empty()) {
+            return;
+        }
+        const std::function<void()> task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+        lock.lock();
+    }
+}
+
+} // namespace parsleypitch::standins
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,3 +1,5 @@
-int main() {
-    return 2;
+#include "commands.hpp"
+
+int main(int argc, char** argv) {
+    return parsleypitch::standins::run({argv + 1, argv + argc});
 }
--- /dev/null
+++ b/standins/service_state.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/result.hpp>
+#include <parsleypitch/core/units.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleypitch::standins {
+
+/// @brief Position of a run in the record of a service.
+using run_number = number_id<struct run_number_tag>;
+
+/// @brief One call that a plain service received and ran.
+struct service_call {
+    request_id id;
+    idempotency_key key;
+    operation_id operation;
+    std::string body;
+};
+
+/// @brief What ran, as recorded for `/admin/truth`.
+struct service_run {
+    request_id id;
+    idempotency_key key;
+    operation_id operation;
+    std::string body_hash;
+    time_point started;
+    std::optional<time_point> finished;
+    std::string outcome; ///< `confirmed`, `rival`, `done`, or empty while it runs
+};
+
+/// @brief Answer of a finished run.
+struct service_answer {
+    std::optional<std::string> confirmed_for; ///< the other party that holds the slot
+    std::string text;
+};
+
+/// @brief A started run and the time that it takes.
+struct started_run {
+    run_number number;
+    std::uint64_t ticket = 0;
+    duration length{};
+};
+
+struct service_load {
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    std::size_t slots = 0;
+};
+
+/// @brief Slots, waiting calls, booked slots and the record of a plain service.
+class service_state {
+  public:
+    /// @param slots calls that run at the same time
+    /// @param most_waiting calls that may wait for a slot; further ones are refused
+    service_state(std::size_t slots, std::size_t most_waiting, std::map<operation_id, duration> operations);
+
+    [[nodiscard]] bool knows(const operation_id& operation) const;
+    /// @brief Queues a call.
+    /// @return its ticket, or nothing if too many calls wait; the call did not run then
+    [[nodiscard]] std::optional<std::uint64_t> enqueue(service_call call);
+    /// @brief Starts the first waiting call if a slot is free.
+    [[nodiscard]] std::optional<started_run> start_next(time_point now, double slow);
+    /// @brief Takes effect and frees the slot.
+    [[nodiscard]] service_answer finish(run_number number, time_point now);
+    [[nodiscard]] service_load load() const;
+    [[nodiscard]] const std::vector<service_run>& runs() const { return m_runs; }
+
+  private:
+    struct waiting_call {
+        std::uint64_t ticket;
+        service_call call;
+    };
+
+    [[nodiscard]] std::optional<std::string> book(const std::string& body);
+
+    std::size_t m_slots;
+    std::size_t m_most_waiting;
+    std::map<operation_id, duration> m_operations;
+    std::deque<waiting_call> m_waiting;
+    std::map<run_number, service_call> m_running;
+    std::map<std::string, std::string> m_booked;
+    std::vector<service_run> m_runs;
+    std::uint64_t m_tickets = 0;
+};
+
+} // namespace parsleypitch::standins
--- /dev/null
+++ b/standins/stop_signal.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <parsleypitch/core/units.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace parsleypitch::standins {
+
+/// @brief Ends the waits of request threads when their server stops.
+class stop_signal {
+  public:
+    /// @brief Waits for `length` or until the signal is set.
+    void wait_for(duration length);
+    void set();
+    [[nodiscard]] bool is_set() const;
+
+  private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_set = false;
+};
+
+} // namespace parsleypitch::standins
