--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -15,8 +15,8 @@
                      std::function<int(const std::string&)> run) {
     return {name, summary, [name, summary, run = std::move(run)](const std::vector<std::string>& arguments) {
                 cxxopts::Options options("parsleypitch " + name, summary);
-                options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(), "FILE")(
-                    "h,help", "print this help");
+                options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(),
+                                      "FILE")("h,help", "print this help");
                 std::vector<const char*> argv = {"parsleypitch"};
                 for (const std::string& argument : arguments) {
                     argv.push_back(argument.c_str());
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -1,7 +1,6 @@
-#include "cli/role_commands.hpp"
-
 #include "cli/commands.hpp"
 #include "cli/process.hpp"
+#include "cli/role_commands.hpp"
 #include "entry/entry_process.hpp"
 
 #include <iostream>
--- a/src/entry/config_exchange.cpp
+++ b/src/entry/config_exchange.cpp
@@ -1,7 +1,6 @@
 #include "entry/config_exchange.hpp"
 
 #include "net/grpc_server.hpp"
-
 #include "parsleypitch.grpc.pb.h"
 
 namespace parsleypitch::detail {
@@ -10,7 +9,8 @@
 
 constexpr milliseconds fetch_timeout{1500};
 
-result<v1::FetchConfigReply> call(v1::Peer::Stub& stub, const endpoint& peer, const v1::FetchConfigRequest& request) {
+result<v1::FetchConfigReply> call(v1::Peer::Stub& stub, const endpoint& peer,
+                                  const v1::FetchConfigRequest& request) {
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + fetch_timeout);
     v1::FetchConfigReply reply;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -54,14 +54,16 @@
     return age ? static_cast<std::uint32_t>(age->count()) : no_proof_ms;
 }
 
-membership_hooks make_membership_hooks(const entry_settings& settings, const std::shared_ptr<entry_parts>& parts) {
+membership_hooks make_membership_hooks(const entry_settings& settings,
+                                       const std::shared_ptr<entry_parts>& parts) {
     membership_hooks hooks;
     hooks.fill_own = [parts = parts.get()](member& own) { own.config = parts->configuration->version(); };
     hooks.config_proof_age_ms = [parts = parts.get()] { return proof_age_ms(*parts->configuration); };
     hooks.on_config_offer = [parts = parts.get()](const config_offer_from& offer) {
         configuration_service& configuration = *parts->configuration;
-        configuration.offer(offer.version, offer.proof_age,
-                            fetch_from_peer(offer.peer, [&configuration] { return configuration.current(); }));
+        configuration.offer(offer.version, offer.proof_age, fetch_from_peer(offer.peer, [&configuration] {
+                                return configuration.current();
+                            }));
         if (offer.answered) {
             configuration.peer_answered(offer.peer, offer.version);
         }
@@ -131,8 +133,9 @@
     hooks.admit = [](const caller_request&) -> result<void> { return success(); };
     hooks.call = [parts = parts.get()](const caller_request& request) -> std::variant<plain_answer, refusal> {
         if (!std::get<call_work>(request.work).repeatable) {
-            return refusal{fail(errc::claims_unavailable, "calls that may not be repeated are not served yet"),
-                           run_state::not_run, seconds(1)};
+            return refusal{
+                fail(errc::claims_unavailable, "calls that may not be repeated are not served yet"),
+                run_state::not_run, seconds(1)};
         }
         return run_call(request, parts->traffic->hooks());
     };
--- a/src/entry/membership_service.cpp
+++ b/src/entry/membership_service.cpp
@@ -33,7 +33,8 @@
 result<void> membership_service::start(kernel& host) {
     m_kernel = &host;
     m_sender = std::make_unique<heartbeat_sender>(
-        host, [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
+        host,
+        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
             take_reply(from, reply, round_trip);
         },
         [](const endpoint&) {});
@@ -78,7 +79,8 @@
     }
 }
 
-void membership_service::take_reply(const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
+void membership_service::take_reply(const endpoint& from, const v1::HeartbeatReply& reply,
+                                    duration round_trip) {
     const time_point now = std::chrono::steady_clock::now();
     for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
         const endpoint address(each.address());
@@ -89,8 +91,8 @@
     }
     m_directory.answered(from, now);
     const auto waited = std::chrono::ceil<milliseconds>(round_trip);
-    m_hooks.on_config_offer(
-        {from, config_version(reply.config_version()), milliseconds(reply.config_proof_age_ms()) + waited, true});
+    m_hooks.on_config_offer({from, config_version(reply.config_version()),
+                             milliseconds(reply.config_proof_age_ms()) + waited, true});
 }
 
 member membership_service::own_record() const {
--- a/src/membership/heartbeat_sender.cpp
+++ b/src/membership/heartbeat_sender.cpp
@@ -62,7 +62,8 @@
                                  const std::lock_guard lock(state->mutex);
                                  if (!state->stopped) {
                                      state->host->post_control([state, to, call, ok = status.ok()] {
-                                         ok ? state->on_reply(to, call->reply, std::chrono::steady_clock::now() - call->sent)
+                                         ok ? state->on_reply(to, call->reply,
+                                                              std::chrono::steady_clock::now() - call->sent)
                                             : state->on_failure(to);
                                      });
                                  }
