--- /dev/null
+++ b/src/cli/config_command.cpp
@@ -0,0 +1,234 @@
+#include "cli/config_command.hpp"
+
+#include "cli/config_actions.hpp"
+#include "settings/toml_reader.hpp"
+
+#include <parsleypitch/platform/http_object_store.hpp>
+
+#include <cxxopts.hpp>
+#include <httplib.h>
+
+#include <array>
+#include <iostream>
+#include <thread>
+
+namespace parsleypitch::cli {
+
+namespace detail {
+
+constexpr milliseconds health_timeout{500};
+
+/// A nested command with the options that it requires and allows beside `--json` and `--help`.
+struct config_entry_point {
+    std::string name;
+    std::string usage;
+    std::string summary;
+    std::vector<std::string> required;
+    std::vector<std::string> allowed;
+    std::size_t min_files;
+    std::size_t max_files;
+    config_action run;
+};
+
+const std::vector<config_entry_point>& entry_points() {
+    static const std::vector<config_entry_point> all = {
+        {"check", "FILE", "reports every mistake of a document", {}, {}, 1, 1, check_config},
+        {"diff",
+         "A B | --env E --store IP:PORT FILE",
+         "shows what differs",
+         {},
+         {"env", "store"},
+         1,
+         2,
+         diff_config},
+        {"apply", "FILE", "accepts a document", {"env", "store"}, {"expect", "wait"}, 1, 1, apply_config},
+        {"promote",
+         "",
+         "accepts the bytes of another environment",
+         {"from", "to", "store"},
+         {"expect", "wait"},
+         0,
+         0,
+         promote_config},
+        {"show",
+         "",
+         "shows the accepted document or the versions",
+         {"env", "store"},
+         {"history"},
+         0,
+         0,
+         show_config},
+    };
+    return all;
+}
+
+void declare(cxxopts::Options& parser, const std::string& option) {
+    auto add = parser.add_options();
+    if (option == "history") {
+        add(option, "list the accepted versions");
+    } else if (option == "expect") {
+        add(option, "version on which the change is based", cxxopts::value<std::uint64_t>(), "VERSION");
+    } else if (option == "wait") {
+        add(option, "wait until these entry hosts have the version in force",
+            cxxopts::value<std::vector<std::string>>(), "IP:PORT,...");
+    } else if (option == "store") {
+        add(option, "address of the object API", cxxopts::value<std::string>(), "IP:PORT");
+    } else {
+        add(option, "name of an environment", cxxopts::value<std::string>(), "NAME");
+    }
+}
+
+cxxopts::Options parser_of(const config_entry_point& entry) {
+    cxxopts::Options parser("parsleypitch config " + entry.name, entry.summary);
+    parser.add_options()("json", "print JSON")("help", "print this help");
+    for (const auto* options : {&entry.required, &entry.allowed}) {
+        for (const std::string& option : *options) {
+            declare(parser, option);
+        }
+    }
+    if (entry.max_files > 0) {
+        parser.add_options("files")("files", "documents", cxxopts::value<std::vector<std::string>>());
+        parser.parse_positional({"files"});
+    }
+    parser.positional_help(entry.usage).show_positional_help();
+    return parser;
+}
+
+std::string text_of(const cxxopts::ParseResult& parsed, const std::string& option) {
+    return parsed.count(option) == 0 ? std::string() : parsed[option].as<std::string>();
+}
+
+std::vector<std::string> texts_of(const cxxopts::ParseResult& parsed, const std::string& option) {
+    return parsed.count(option) == 0 ? std::vector<std::string>()
+                                     : parsed[option].as<std::vector<std::string>>();
+}
+
+config_options read_options(const cxxopts::ParseResult& parsed) {
+    config_options options;
+    options.env = environment_name(text_of(parsed, "env"));
+    options.from = environment_name(text_of(parsed, "from"));
+    options.to = environment_name(text_of(parsed, "to"));
+    options.store = endpoint(text_of(parsed, "store"));
+    if (parsed.count("expect") != 0) {
+        options.expect = config_version(parsed["expect"].as<std::uint64_t>());
+    }
+    for (std::string& host : texts_of(parsed, "wait")) {
+        options.wait.emplace_back(std::move(host));
+    }
+    options.files = texts_of(parsed, "files");
+    options.history = parsed.count("history") != 0;
+    options.json = parsed.count("json") != 0;
+    return options;
+}
+
+/// @return what is wrong with the arguments, or an empty text
+std::string usage_mistake(const config_entry_point& entry, const cxxopts::ParseResult& parsed,
+                          const config_options& options) {
+    for (const std::string& option : entry.required) {
+        if (text_of(parsed, option).empty()) {
+            return "--" + option + " is required";
+        }
+    }
+    if (options.files.size() < entry.min_files || options.files.size() > entry.max_files) {
+        return "expected " + entry.usage;
+    }
+    if (entry.name == "diff" &&
+        (options.files.size() == 1) != (!options.env.empty() && !options.store.empty())) {
+        return "expected " + entry.usage;
+    }
+    std::vector<endpoint> addresses = options.wait;
+    if (!options.store.empty()) {
+        addresses.push_back(options.store);
+    }
+    for (const endpoint& address : addresses) {
+        if (!parsleypitch::detail::is_endpoint(address.str())) {
+            return "expected an IP number and a port such as 10.0.0.1:8080, got " + address.str();
+        }
+    }
+    return {};
+}
+
+int run_entry(const config_command_hooks& hooks, const config_entry_point& entry,
+              const std::vector<std::string>& arguments) {
+    cxxopts::Options parser = parser_of(entry);
+    std::vector<const char*> raw = {"parsleypitch"};
+    for (const std::string& argument : arguments) {
+        raw.push_back(argument.c_str());
+    }
+    try {
+        const auto parsed = parser.parse(static_cast<int>(raw.size()), raw.data());
+        if (parsed.count("help") != 0) {
+            *hooks.out << parser.help({""});
+            return exit_success;
+        }
+        const config_options options = read_options(parsed);
+        if (const std::string mistake = usage_mistake(entry, parsed, options); !mistake.empty()) {
+            *hooks.err << "config " << entry.name << ": " << mistake << '\n';
+            return exit_usage;
+        }
+        return entry.run(hooks, options);
+    } catch (const cxxopts::exceptions::exception& failure) {
+        *hooks.err << "config " << entry.name << ": " << failure.what() << '\n';
+        return exit_usage;
+    }
+}
+
+void print_table(std::ostream& out) {
+    out << "usage: parsleypitch config COMMAND [OPTIONS]\n\nCommands (each has --help and --json):\n";
+    for (const config_entry_point& entry : entry_points()) {
+        out << "  " << entry.name << std::string(10 - entry.name.size(), ' ') << entry.summary << '\n';
+    }
+}
+
+int run_config(const config_command_hooks& hooks, const std::vector<std::string>& arguments) {
+    if (arguments.empty() || arguments.front() == "--help") {
+        print_table(arguments.empty() ? *hooks.err : *hooks.out);
+        return arguments.empty() ? exit_usage : exit_success;
+    }
+    for (const config_entry_point& entry : entry_points()) {
+        if (entry.name == arguments.front()) {
+            return run_entry(hooks, entry, {arguments.begin() + 1, arguments.end()});
+        }
+    }
+    *hooks.err << "unknown command config " << arguments.front() << '\n';
+    print_table(*hooks.err);
+    return exit_usage;
+}
+
+result<std::string> read_health_over_http(const endpoint& host) {
+    const std::size_t colon = host.str().rfind(':');
+    std::string address = host.str().substr(0, colon);
+    if (address.front() == '[') {
+        address = address.substr(1, address.size() - 2);
+    }
+    httplib::Client client(address, std::stoi(host.str().substr(colon + 1)));
+    client.set_connection_timeout(health_timeout);
+    client.set_read_timeout(health_timeout);
+    const auto answer = client.Get("/healthz");
+    if (!answer) {
+        return fail(errc::agent_unreachable, host.str() + ": " + httplib::to_string(answer.error()));
+    }
+    return answer->body;
+}
+
+} // namespace detail
+
+config_command_hooks default_config_hooks() {
+    config_command_hooks hooks;
+    hooks.open_store = [](const endpoint& store) { return http_object_store(store); };
+    hooks.read_health = detail::read_health_over_http;
+    hooks.clock = steady_clock_hook();
+    hooks.sleep = [](milliseconds wait) { std::this_thread::sleep_for(wait); };
+    hooks.out = &std::cout;
+    hooks.err = &std::cerr;
+    return hooks;
+}
+
+command config_command(config_command_hooks hooks) {
+    return {"config", "checks, compares, accepts, promotes and shows configurations",
+            [hooks = std::move(hooks)](const std::vector<std::string>& arguments) {
+                return detail::run_config(hooks, arguments);
+            }};
+}
+
+} // namespace parsleypitch::cli
