--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.hpp"
 
+#include "cli/config_command.hpp"
 #include "cli/role_commands.hpp"
 
 #include <cxxopts.hpp>
@@ -43,7 +44,8 @@
 
 std::vector<command> all_commands() {
     return {role_command("entry", "run an entry host", run_entry),
-            role_command("agent", "run the agent beside a backend server", run_agent)};
+            role_command("agent", "run the agent beside a backend server", run_agent),
+            config_command(default_config_hooks())};
 }
 
 } // namespace parsleypitch::cli
