Test the stand-ins and send a duplicate answer ahead of the delayed original

cpp-httplib's client reads both copies at once if they arrive together and drops the second, so the duplicate did not reach the next request: the new test failed in some runs. The original now follows 100 ms after the duplicate.

--- a/standins/engine_model.hpp
+++ b/standins/engine_model.hpp
@@ -57,7 +57,7 @@
         std::size_t record = 0;
     };
     struct arrival_order {
-        int priority;
+        int priority = 0;
         sequence_number number;
         friend auto operator<=>(const arrival_order&, const arrival_order&) = default;
     };
--- a/standins/service_server.cpp
+++ b/standins/service_server.cpp
@@ -6,6 +6,11 @@
 
 using nlohmann::json;
 
+namespace {
+// A client that finds both copies in one read drops the second, so the second one follows later.
+constexpr milliseconds duplicate_gap{100};
+} // namespace
+
 service_server::service_server(service_options options)
     : m_options(std::move(options)), m_state(m_options.slots, m_options.most_waiting, m_options.operations) {
 }
@@ -92,6 +97,7 @@
         http().write_ahead(request, "HTTP/1.1 " + std::to_string(response.status) +
                                         " Duplicate\r\nContent-Type: application/json\r\nContent-Length: " +
                                         std::to_string(text.size()) + "\r\n\r\n" + text);
+        stopping().wait_for(duplicate_gap);
     }
     response.set_content(text, "application/json");
 }
