--- a/tests/memory_object_store.hpp
+++ b/tests/memory_object_store.hpp
@@ -20,6 +20,8 @@
     unsigned lose_answers = 0;
     /// @brief Writes that return `platform_answer_lost` without taking effect.
     unsigned lose_writes = 0;
+    /// @brief Writes that return `platform_answer_lost` and arrive at the store only after three more calls.
+    unsigned delay_writes = 0;
     /// @brief Calls that return `platform_rate_limited`.
     unsigned refuse = 0;
     /// @brief Reads that return the value before the last write of the key.
@@ -65,6 +67,13 @@
         stored_object before;
     };
 
+    struct delayed_write {
+        object_key key;
+        std::string bytes;
+        object_version expected;
+        unsigned calls_left = 3;
+    };
+
     static bool consume(unsigned& count) {
         if (count == 0) {
             return false;
@@ -74,6 +83,7 @@
     }
 
     result<void> admit(const object_key& key) {
+        deliver_delayed();
         if (m_faults.down) {
             return fail(errc::platform_unreachable, key.str());
         }
@@ -102,6 +112,10 @@
         run_before_write();
         const std::lock_guard lock(m_mutex);
         BOOST_OUTCOME_TRYV(admit(key));
+        if (consume(m_faults.delay_writes)) {
+            m_delayed.push_back({key, bytes, expected});
+            return fail(errc::platform_answer_lost, key.str());
+        }
         if (consume(m_faults.lose_writes)) {
             return fail(errc::platform_answer_lost, key.str());
         }
@@ -118,6 +132,18 @@
         return replace(key, {}, expected, true);
     }
 
+    /// Applies each delayed write once its calls have passed; a conflict drops it as a server would.
+    void deliver_delayed() {
+        for (auto it = m_delayed.begin(); it != m_delayed.end();) {
+            if (consume(it->calls_left)) {
+                ++it;
+                continue;
+            }
+            (void)replace(it->key, it->bytes, it->expected, false);
+            it = m_delayed.erase(it);
+        }
+    }
+
     void run_before_write() {
         std::function<void()> interference;
         {
@@ -182,6 +208,7 @@
     std::map<object_key, object_version> m_changed;
     object_version m_revision;
     store_faults m_faults;
+    std::vector<delayed_write> m_delayed;
     unsigned m_writes = 0;
 };
 
