--- a/include/parsleypitch/claims/claim_log.hpp
+++ b/include/parsleypitch/claims/claim_log.hpp
@@ -17,7 +17,7 @@
 /// @brief Time for which a settled key is kept.
 inline constexpr std::chrono::hours claim_retention{24};
 /// @brief Greatest size of one segment of a partition's log.
-inline constexpr byte_count max_claim_segment{256 * 1024};
+inline constexpr byte_count max_claim_segment{262'144};
 
 enum class claim_state { running, done, not_run, unknown };
 
--- a/tests/unit-claims.cpp
+++ b/tests/unit-claims.cpp
@@ -272,7 +272,7 @@
     std::vector<std::future<claim_reply>> replies;
     for (unsigned i = 0; i < 8; ++i) {
         replies.push_back(std::async(std::launch::async, [this] {
-            const auto reply = claim(1);
+            auto reply = claim(1);
             if (reply.outcome == claim_outcome::granted) {
                 const recorded_answer answer{200, "text/plain", "booked", {}, true};
                 EXPECT_TRUE(
