--- a/include/parsleypitch/configuration/config_parts.hpp
+++ b/include/parsleypitch/configuration/config_parts.hpp
@@ -69,6 +69,10 @@
 /// hash
 [[nodiscard]] result<environment> join_parts(const std::vector<config_part>& parts);
 
+/// @brief Parses a document that has to be valid.
+/// @return `config_not_accepted` with the first mistake
+[[nodiscard]] result<environment> parse_accepted(std::string_view bytes);
+
 /// @brief Builds the adopted form of accepted bytes.
 /// @return `config_not_accepted` if the bytes are no valid document
 [[nodiscard]] result<adopted_config> adopt_document(config_version version, std::string_view bytes);
--- a/src/cli/config_actions.cpp
+++ b/src/cli/config_actions.cpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/environment/environment_diff.hpp>
 #include <parsleypitch/settings/settings.hpp>
 
+#include <algorithm>
 #include <ostream>
 
 namespace parsleypitch::cli::detail {
@@ -217,13 +218,13 @@
     return entry ? report_accepted(hooks, options, options.to, entry.value()) : report.failure(entry.error());
 }
 
-int show_history(const reporter& report, const environment_name& name,
-                 const std::vector<config_entry>& entries) {
+int show_history(const reporter& report, const environment_name& name, std::vector<config_entry> entries) {
+    std::reverse(entries.begin(), entries.end());
     json list = json::array();
     std::string text = name.str() + ": " + std::to_string(entries.size()) + " versions, the newest first";
-    for (auto each = entries.rbegin(); each != entries.rend(); ++each) {
-        list.push_back(encode(*each));
-        text += "\n" + describe(*each);
+    for (const config_entry& entry : entries) {
+        list.push_back(encode(entry));
+        text += "\n" + describe(entry);
     }
     report.print(text, {{"environment", name.str()}, {"versions", list}});
     return exit_success;
--- a/src/configuration/config_parts.cpp
+++ b/src/configuration/config_parts.cpp
@@ -104,7 +104,7 @@
     return in_canonical_order(std::move(value));
 }
 
-result<adopted_config> adopt_document(config_version version, std::string_view bytes) {
+result<environment> parse_accepted(std::string_view bytes) {
     parsed_environment parsed = parse_environment(bytes);
     if (!parsed.mistakes.empty()) {
         const document_mistake& first = parsed.mistakes.front();
@@ -113,8 +113,16 @@
                         std::to_string(first.line) + ", column " + std::to_string(first.column) + ": " +
                         to_string(first.what));
     }
+    return std::move(parsed.value);
+}
+
+result<adopted_config> adopt_document(config_version version, std::string_view bytes) {
+    auto parsed = parse_accepted(bytes);
+    if (!parsed) {
+        return parsed.error();
+    }
     adopted_config adopted;
-    adopted.value = in_canonical_order(std::move(parsed.value));
+    adopted.value = in_canonical_order(std::move(parsed.value()));
     adopted.parts = split_environment(adopted.value);
     adopted.manifest = {version, hash_of(bytes), detail::references_of(adopted.parts)};
     return adopted;
--- a/src/configuration/config_store.cpp
+++ b/src/configuration/config_store.cpp
@@ -136,7 +136,7 @@
 result<config_entry> config_store::accept_from(const std::string& bytes,
                                                std::optional<config_version> expected,
                                                const environment_name& source) const {
-    if (auto valid = adopt_document(config_version(), bytes); !valid) {
+    if (auto valid = parse_accepted(bytes); !valid) {
         return valid.error();
     }
     const auto head = read_head();
--- a/tests/fault_store.hpp
+++ b/tests/fault_store.hpp
@@ -20,7 +20,7 @@
         store.get = [this, get = store.get](const object_key& key) -> result<stored_object> {
             ++m_reads[key];
             const fault planned = take(m_read_faults[key]);
-            const auto present = get(key);
+            auto present = get(key);
             if (planned == fault::stale) {
                 return m_previous.at(key);
             }
@@ -86,7 +86,7 @@
             return fail(errc::platform_answer_lost, "lost");
         }
         const auto present = get(key);
-        const auto written = put(key, bytes, expected);
+        auto written = put(key, bytes, expected);
         if (written) {
             m_previous.insert_or_assign(key, present);
             m_largest = std::max(m_largest, bytes.size());
