--- a/src/configuration/config_store.cpp
+++ b/src/configuration/config_store.cpp
@@ -180,7 +180,7 @@
 
 result<bool> config_store::create_chunks(config_version version, const std::string& bytes) const {
     for (std::size_t i = 0; i < detail::chunk_count(bytes.size()); ++i) {
-        const auto created =
+        auto created =
             create_object(chunk_key(version, i), bytes.substr(i * detail::chunk_bytes, detail::chunk_bytes));
         if (!created || !created.value()) {
             return created;
