--- a/src/configuration/config_store.cpp
+++ b/src/configuration/config_store.cpp
@@ -136,7 +136,7 @@
 result<config_entry> config_store::accept_from(const std::string& bytes,
                                                std::optional<config_version> expected,
                                                const environment_name& source) const {
-    if (auto valid = adopt_document(config_version(), bytes); !valid) {
+    if (auto valid = parse_accepted(bytes); !valid) {
         return valid.error();
     }
     const auto head = read_head();
@@ -180,7 +180,7 @@
 
 result<bool> config_store::create_chunks(config_version version, const std::string& bytes) const {
     for (std::size_t i = 0; i < detail::chunk_count(bytes.size()); ++i) {
-        const auto created =
+        auto created =
             create_object(chunk_key(version, i), bytes.substr(i * detail::chunk_bytes, detail::chunk_bytes));
         if (!created || !created.value()) {
             return created;
