Add the rank queue and admission control

The rank queue serves ranks with floor credit first, then urgent, normal and bulk, and is fair among accounts by start-time fair queueing.

--- /dev/null
+++ b/include/parsleypitch/admission/refusal.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <parsleypitch/core/result.hpp>
+#include <parsleypitch/core/types.hpp>
+#include <parsleypitch/core/units.hpp>
+
+namespace parsleypitch {
+
+/// @brief Why a request was refused before it ran, and when the caller may try again.
+struct refusal {
+    error why;
+    run_state state = run_state::not_run;
+    milliseconds retry_after{0};
+};
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/admission/rank_queue.cpp
@@ -0,0 +1,324 @@
+#include <parsleypitch/admission/rank_queue.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleypitch {
+
+namespace {
+
+constexpr std::size_t least_slots_for_reserves = 4; // With fewer slots a reserve would idle a third or more.
+constexpr double occupancy_window_seconds = 10;
+constexpr double least_rate_share = 0.05; // Higher ranks that fill every slot now leave some later.
+// Work is charged when it starts and served later, so that the work in flight would be missing from the
+// floor.
+constexpr double floor_margin = 1.02;
+constexpr double mean_cost_gain = 0.05;
+constexpr double longest_wait_seconds = 3600;
+constexpr milliseconds shortest_retry_after{50};
+
+milliseconds to_milliseconds(duration d) {
+    return std::chrono::ceil<milliseconds>(d);
+}
+
+} // namespace
+
+rank_queue::rank_queue(rank_queue_config config) : m_config(config) {
+}
+
+std::vector<refused_entry> rank_queue::push(queue_entry entry, time_point now) {
+    advance(now);
+    const rank r = entry.priority;
+    observe_arrival(entry);
+    std::vector<refused_entry> refused;
+    const duration wait =
+        wait_behind(r, entry.long_work, m_ranks[index_of(r)].queue.ahead_of(entry.account, entry.weight));
+    if (now + wait > entry.deadline) {
+        const duration excess = now + wait - entry.deadline;
+        refused.push_back(refuse(std::move(entry), errc::deadline_unreachable, excess));
+        return refused;
+    }
+    if (waiting() >= m_config.capacity) {
+        std::optional<refused_entry> evicted = make_room(entry);
+        if (!evicted) {
+            refused.push_back(refuse(std::move(entry), errc::queue_full, wait));
+            return refused;
+        }
+        refused.push_back(std::move(*evicted));
+    }
+    m_deadlines.emplace(entry.deadline, std::pair(entry.id, r));
+    m_waiting_ranks.emplace(entry.id, r);
+    m_ranks[index_of(r)].queue.push(std::move(entry), m_next_sequence++);
+    observe_urgent();
+    return refused;
+}
+
+std::optional<queue_entry> rank_queue::start_next(time_point now) {
+    advance(now);
+    std::optional<queue_entry> started;
+    if (m_running.size() >= m_config.slots) {
+        return started;
+    }
+    for (const rank r : all_ranks) {
+        if (due(r) && start_from(r, true, started)) {
+            return started;
+        }
+    }
+    for (const rank r : all_ranks) {
+        if (start_from(r, false, started)) {
+            return started;
+        }
+    }
+    return started;
+}
+
+bool rank_queue::finish(queue_entry_id id, duration actual, time_point now) {
+    advance(now);
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return false;
+    }
+    const running_entry done = std::move(found->second);
+    m_running.erase(found);
+    const rank r = done.entry.priority;
+    rank_state& state = m_ranks[index_of(r)];
+    --state.running[done.entry.long_work ? 1 : 0];
+    correct_credit(done, to_seconds(actual));
+    state.queue.correct(done.entry.account, done.entry.weight, actual - done.entry.cost);
+    m_mean_cost += mean_cost_gain * (to_seconds(actual) - m_mean_cost);
+    return true;
+}
+
+std::vector<refused_entry> rank_queue::expire(time_point now) {
+    advance(now);
+    std::vector<refused_entry> refused;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first < now) {
+        const auto [id, r] = m_deadlines.begin()->second;
+        const duration wait = wait_behind(r, false, m_ranks[index_of(r)].queue.backlog());
+        if (std::optional<queue_entry> entry = remove_waiting(r, id)) {
+            refused.push_back(refuse(std::move(*entry), errc::deadline_exceeded, wait));
+        }
+    }
+    return refused;
+}
+
+bool rank_queue::cancel(queue_entry_id id) {
+    const auto found = m_waiting_ranks.find(id);
+    return found != m_waiting_ranks.end() && remove_waiting(found->second, id).has_value();
+}
+
+void rank_queue::configure(rank_queue_config config, time_point now) {
+    advance(now);
+    m_config = config;
+    for (const rank r : all_ranks) {
+        bound_credit(r);
+    }
+}
+
+std::array<milliseconds, rank_count> rank_queue::expected_wait(time_point) const {
+    std::array<milliseconds, rank_count> waits{};
+    for (const rank r : all_ranks) {
+        const duration backlog = m_ranks[index_of(r)].queue.backlog();
+        waits[index_of(r)] = to_milliseconds(wait_behind(r, running_long() > 0, backlog));
+    }
+    return waits;
+}
+
+std::size_t rank_queue::urgent_reserve(time_point now) const {
+    const double elapsed = m_advanced_at ? to_seconds(now - *m_advanced_at) : 0;
+    const double peak = m_urgent_peak * std::exp2(-elapsed / to_seconds(m_config.reserve_half_life));
+    const double other_floors =
+        m_config.floors[index_of(rank::normal)] + m_config.floors[index_of(rank::bulk)];
+    const double slots = static_cast<double>(m_config.slots);
+    // The other ranks keep the slots of their floors, and at least one.
+    const double most = slots - std::clamp(std::ceil(other_floors * slots), 1.0, std::max(1.0, slots));
+    const auto wanted = static_cast<std::size_t>(std::ceil(std::clamp(peak - 0.25, 0.0, most)));
+    return std::max(minimum_reserve(), wanted);
+}
+
+std::size_t rank_queue::waiting() const noexcept {
+    return m_waiting_ranks.size();
+}
+
+std::size_t rank_queue::running(rank r) const noexcept {
+    const rank_state& state = m_ranks[index_of(r)];
+    return state.running[0] + state.running[1];
+}
+
+duration rank_queue::credit(rank r) const noexcept {
+    return from_seconds(m_ranks[index_of(r)].credit);
+}
+
+void rank_queue::advance(time_point now) {
+    const double elapsed = m_advanced_at ? std::max(0.0, to_seconds(now - *m_advanced_at)) : 0;
+    m_advanced_at = now;
+    if (elapsed > 0) {
+        m_urgent_peak *= std::exp2(-elapsed / to_seconds(m_config.reserve_half_life));
+        for (const rank r : all_ranks) {
+            observe_time(m_ranks[index_of(r)], floor_rate(r), elapsed);
+            bound_credit(r);
+        }
+    }
+    observe_urgent();
+}
+
+void rank_queue::observe_time(rank_state& state, double floor_rate, double elapsed) {
+    const auto running = static_cast<double>(state.running[0] + state.running[1]);
+    state.credit += floor_margin * floor_rate * elapsed;
+    state.occupancy = running + (state.occupancy - running) * std::exp(-elapsed / occupancy_window_seconds);
+}
+
+double rank_queue::floor_rate(rank r) const noexcept {
+    return m_config.floors[index_of(r)] * static_cast<double>(m_config.slots);
+}
+
+void rank_queue::observe_urgent() {
+    const std::size_t wanted = running(rank::urgent) + waiting(rank::urgent);
+    m_urgent_peak = std::max(m_urgent_peak, static_cast<double>(std::min(wanted, m_config.slots)));
+}
+
+void rank_queue::observe_arrival(const queue_entry& entry) {
+    if (!entry.long_work) {
+        m_last_short = m_advanced_at;
+    }
+    if (m_mean_cost == 0) {
+        m_mean_cost = to_seconds(entry.cost);
+    }
+}
+
+double rank_queue::charge(rank r, double amount, bool by_credit) {
+    double& credit = m_ranks[index_of(r)].credit;
+    // Work that starts in its ordinary turn uses up credit but makes no debt; otherwise a quiet time
+    // would take away the rank's floor in the flood that follows.
+    const double charged = by_credit ? amount : std::clamp(credit, 0.0, amount);
+    credit -= charged;
+    return charged;
+}
+
+void rank_queue::correct_credit(const running_entry& done, double actual) {
+    const rank r = done.entry.priority;
+    const double difference = actual - to_seconds(done.entry.cost);
+    if (difference > 0) {
+        (void)charge(r, difference, done.by_credit);
+    } else {
+        m_ranks[index_of(r)].credit += std::min(-difference, done.charged);
+    }
+    bound_credit(r);
+}
+
+void rank_queue::bound_credit(rank r) {
+    rank_state& state = m_ranks[index_of(r)];
+    const duration window = state.queue.size() > 0 ? m_config.waiting_credit : m_config.idle_credit;
+    state.credit = std::min(state.credit, floor_rate(r) * to_seconds(window));
+}
+
+bool rank_queue::due(rank r) const {
+    const rank_state& state = m_ranks[index_of(r)];
+    // A rank that already occupies more slots than its floor does not go before the others.
+    return state.credit > 0 && static_cast<double>(running(r)) < std::floor(floor_rate(r)) + 1;
+}
+
+bool rank_queue::fits(rank r, bool long_work, bool by_credit) const {
+    const std::size_t shorts = short_reserve();
+    if (long_work && running_long() + shorts >= m_config.slots) {
+        return false;
+    }
+    if (r == rank::urgent) {
+        return true;
+    }
+    const std::size_t reserve = by_credit ? minimum_reserve() : urgent_reserve(*m_advanced_at);
+    const std::size_t others = running(rank::normal) + running(rank::bulk);
+    if (others + reserve >= m_config.slots) {
+        return false;
+    }
+    const std::size_t others_long =
+        m_ranks[index_of(rank::normal)].running[1] + m_ranks[index_of(rank::bulk)].running[1];
+    // At least one long entry of the other ranks may run, whatever is reserved.
+    return !long_work || others_long == 0 || others_long + reserve + shorts < m_config.slots;
+}
+
+bool rank_queue::start_from(rank r, bool by_credit, std::optional<queue_entry>& out) {
+    rank_state& state = m_ranks[index_of(r)];
+    const queue_entry* next = state.queue.next(fits(r, false, by_credit), fits(r, true, by_credit));
+    if (next == nullptr) {
+        return false;
+    }
+    m_deadlines.erase({next->deadline, {next->id, r}});
+    m_waiting_ranks.erase(next->id);
+    out = state.queue.start(next->id);
+    ++state.running[out->long_work ? 1 : 0];
+    const double charged = charge(r, to_seconds(out->cost), by_credit);
+    m_running.emplace(out->id, running_entry{*out, charged, by_credit});
+    return true;
+}
+
+std::size_t rank_queue::minimum_reserve() const noexcept {
+    return m_config.slots >= least_slots_for_reserves ? 1 : 0;
+}
+
+std::size_t rank_queue::short_reserve() const noexcept {
+    const bool recent = m_last_short && *m_advanced_at - *m_last_short <= m_config.short_memory;
+    return recent && m_config.slots >= least_slots_for_reserves ? std::max<std::size_t>(1, m_config.slots / 8)
+                                                                : 0;
+}
+
+std::size_t rank_queue::running_long() const noexcept {
+    std::size_t count = 0;
+    for (const rank_state& state : m_ranks) {
+        count += state.running[1];
+    }
+    return count;
+}
+
+duration rank_queue::wait_behind(rank r, bool long_work, duration ahead) const {
+    const double slots = static_cast<double>(m_config.slots);
+    if (ahead == duration::zero() && m_running.size() < m_config.slots && fits(r, long_work, false)) {
+        return duration::zero();
+    }
+    double work = to_seconds(ahead) + m_mean_cost / 2; // half of a running entry remains on average
+    double rate = slots;
+    for (const rank other : all_ranks) {
+        const rank_state& state = m_ranks[index_of(other)];
+        if (other < r) {
+            work += to_seconds(state.queue.backlog());
+            rate -= state.occupancy;
+        } else if (other > r && state.queue.size() > 0) {
+            rate -= floor_rate(other);
+        }
+    }
+    const double own_floor = floor_rate(r);
+    const double by_turn = work / std::max(rate, least_rate_share * slots);
+    const double by_floor =
+        own_floor > 0 ? (to_seconds(ahead) + m_mean_cost / 2) / own_floor : longest_wait_seconds;
+    return from_seconds(std::min({by_turn, by_floor, longest_wait_seconds}));
+}
+
+std::optional<refused_entry> rank_queue::make_room(const queue_entry& entry) {
+    for (auto r = all_ranks.rbegin(); r != all_ranks.rend() && *r > entry.priority; ++r) {
+        const fair_queue& queue = m_ranks[index_of(*r)].queue;
+        if (const queue_entry* newest = queue.newest()) {
+            const duration wait = wait_behind(*r, newest->long_work, queue.backlog());
+            return refuse(*remove_waiting(*r, newest->id), errc::queue_full, wait);
+        }
+    }
+    return std::nullopt;
+}
+
+refused_entry rank_queue::refuse(queue_entry entry, errc code, duration retry_after) const {
+    const std::string place = "rank " + std::string(to_string(entry.priority)) + ", " +
+                              std::to_string(waiting()) + " waiting of at most " +
+                              std::to_string(m_config.capacity);
+    const milliseconds wait = std::max(shortest_retry_after, to_milliseconds(retry_after));
+    return {std::move(entry), {fail(code, place), run_state::not_run, wait}};
+}
+
+std::optional<queue_entry> rank_queue::remove_waiting(rank r, queue_entry_id id) {
+    std::optional<queue_entry> entry = m_ranks[index_of(r)].queue.remove(id);
+    if (entry) {
+        m_deadlines.erase({entry->deadline, {id, r}});
+        m_waiting_ranks.erase(id);
+    }
+    return entry;
+}
+
+} // namespace parsleypitch
