--- /dev/null
+++ b/include/parsleypitch/routing/fleet_index.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/membership/member.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleypitch {
+
+/// @brief Places of members in `fleet_view::members`.
+using member_places = std::vector<std::uint32_t>;
+
+/// @brief Backend servers of one model or plain service, by availability zone.
+struct candidate_group {
+    std::map<availability_zone_id, member_places> zones;
+    member_places all;
+};
+
+/// @brief A fleet view with the groups from which routing samples, built once per snapshot.
+///
+/// It holds places in the view instead of copies of members. Members that take no new work
+/// (not live, or changing) are left out.
+class fleet_index {
+  public:
+    explicit fleet_index(std::shared_ptr<const fleet_view> view);
+
+    [[nodiscard]] const fleet_view& view() const noexcept { return *m_view; }
+    [[nodiscard]] const member& at(std::uint32_t place) const { return m_view->members[place]; }
+    /// @return nothing if no member serves the model
+    [[nodiscard]] const candidate_group* engines(const model_id& model) const;
+    /// @return nothing if no member runs the plain service
+    [[nodiscard]] const candidate_group* plain_services(const plain_service_id& service) const;
+    /// @return nothing if no member that takes new work has this id
+    [[nodiscard]] const member* find(const backend_server_id& id) const;
+
+  private:
+    std::shared_ptr<const fleet_view> m_view;
+    std::unordered_map<model_id, candidate_group> m_engines;
+    std::unordered_map<plain_service_id, candidate_group> m_plain_services;
+    std::unordered_map<std::string_view, std::uint32_t> m_places; // keys point into the view
+};
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/routing/routing.cpp
@@ -0,0 +1,203 @@
+#include <parsleypitch/routing/routing.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+namespace {
+
+// Draws per wanted candidate before the whole group is scanned. It suffices while at least a third of
+// the group is eligible.
+constexpr std::size_t draws_per_candidate = 4;
+
+template <class Range, class Value>
+bool contains(const Range& range, const Value& value) {
+    return std::find(range.begin(), range.end(), value) != range.end();
+}
+
+bool excluded(const member& candidate, const routing_request& request) {
+    return std::any_of(request.excluded.begin(), request.excluded.end(),
+                       [&candidate](const backend_server_id& id) { return id.str() == candidate.id; });
+}
+
+bool engine_fits(const engine_state& engine, const routing_request& request) {
+    return engine.model == request.model && request.roles.contains(engine.role) &&
+           (request.versions.empty() || contains(request.versions, engine.version)) &&
+           (!request.adapter || contains(engine.adapters, *request.adapter));
+}
+
+/// Draws with the random hook; without replacement only inside `scan`.
+class sampler {
+  public:
+    sampler(const fleet_index& fleet, const routing_request& request, const random_hook& random)
+        : m_fleet(fleet), m_request(request), m_random(random) {}
+
+    /// Adds up to `wanted` eligible candidates out of `places`. Nothing is copied but their addresses.
+    template <class Accept>
+    void sample(const member_places& places, std::size_t wanted, const Accept& accept) {
+        const std::size_t target = m_candidates.size() + wanted;
+        if (places.size() > wanted * draws_per_candidate) {
+            for (std::size_t i = 0; i < wanted * draws_per_candidate && m_candidates.size() < target; ++i) {
+                add(m_fleet.at(places[m_random(places.size())]), accept);
+            }
+        }
+        if (m_candidates.size() < target) {
+            scan(places, target, accept);
+        }
+    }
+
+    void add_if_eligible(const member* candidate) {
+        if (candidate != nullptr) {
+            add(*candidate, [](const member&) { return true; });
+        }
+    }
+
+    [[nodiscard]] const std::vector<const member*>& candidates() const { return m_candidates; }
+
+  private:
+    template <class Accept>
+    void add(const member& candidate, const Accept& accept) {
+        if (!contains(m_candidates, &candidate) && accept(candidate) && eligible(candidate, m_request)) {
+            m_candidates.push_back(&candidate);
+        }
+    }
+
+    /// Starts at a random place, so that no server is preferred.
+    template <class Accept>
+    void scan(const member_places& places, std::size_t target, const Accept& accept) {
+        const std::size_t start = places.empty() ? 0 : m_random(places.size());
+        for (std::size_t i = 0; i < places.size() && m_candidates.size() < target; ++i) {
+            add(m_fleet.at(places[(start + i) % places.size()]), accept);
+        }
+    }
+
+    const fleet_index& m_fleet;
+    const routing_request& m_request;
+    const random_hook& m_random;
+    std::vector<const member*> m_candidates;
+};
+
+void add_hinted(sampler& out, const fleet_index& fleet, const routing_request& request,
+                const routing_policy& policy, time_point now) {
+    if (policy.prefixes == nullptr || request.model.empty()) {
+        return;
+    }
+    std::vector<prefix_hint> hints;
+    for (const prompt_prefix& prefix : request.prefixes) {
+        policy.prefixes->find(prefix.hash, now, hints);
+        if (hints.size() >= policy.hinted_size) {
+            break;
+        }
+    }
+    std::stable_sort(hints.begin(), hints.end(), [](const prefix_hint& a, const prefix_hint& b) {
+        return a.probability > b.probability;
+    });
+    for (std::size_t i = 0; i < std::min(hints.size(), policy.hinted_size); ++i) {
+        out.add_if_eligible(fleet.find(*hints[i].server));
+    }
+}
+
+const candidate_group* group_of(const fleet_index& fleet, const routing_request& request) {
+    return request.model.empty() ? fleet.plain_services(request.plain_service) : fleet.engines(request.model);
+}
+
+double cached_tokens(const member& candidate, const routing_request& request, const routing_policy& policy,
+                     time_point now) {
+    double best = 0;
+    if (policy.prefixes != nullptr) {
+        const backend_server_id id(candidate.id);
+        for (const prompt_prefix& prefix : request.prefixes) {
+            best = std::max(best, static_cast<double>(prefix.tokens.value()) *
+                                      policy.prefixes->probability(id, prefix.hash, now));
+        }
+    }
+    return std::min(best, static_cast<double>(request.prompt.value()));
+}
+
+duration estimate_wait(const member& candidate, const routing_request& request,
+                       const routing_policy& policy) {
+    const load_report& load = candidate.load;
+    const duration reported = load.expected_wait[index_of(request.priority)];
+    if (!policy.own_work_since) {
+        return reported;
+    }
+    const own_work own = policy.own_work_since(backend_server_id(candidate.id), load.measured_at);
+    const std::int64_t slots = std::max<std::int64_t>(1, load.slots.value());
+    const std::int64_t free = std::max<std::int64_t>(0, slots - load.running.value() - load.waiting.value());
+    if (own.requests.value() <= 0) {
+        return reported;
+    }
+    // The first `free` requests start at once; the others queue for all slots.
+    const double queued = static_cast<double>(std::max<std::int64_t>(0, own.requests.value() - free + 1)) /
+                          static_cast<double>(own.requests.value());
+    return reported + from_seconds(std::min(1.0, queued) * to_seconds(own.cost) / static_cast<double>(slots));
+}
+
+duration estimate_zone(const member& candidate, const routing_request& request,
+                       const routing_policy& policy) {
+    if (candidate.zone == request.own_zone) {
+        return duration::zero();
+    }
+    const duration delay =
+        policy.link_delay ? policy.link_delay(request.own_zone, candidate.zone) : duration::zero();
+    return 2 * delay + policy.zone_penalty; // there and back
+}
+
+} // namespace
+
+bool eligible(const member& candidate, const routing_request& request) {
+    if (candidate.health != member_health::live || candidate.engine.changing) {
+        return false;
+    }
+    const bool fits =
+        request.model.empty()
+            ? candidate.kind == member_kind::plain_service && candidate.plain_service == request.plain_service
+            : candidate.kind == member_kind::engine && engine_fits(candidate.engine, request);
+    return fits && !excluded(candidate, request);
+}
+
+cost_estimate estimate_cost(const member& candidate, const routing_request& request,
+                            const routing_policy& policy, time_point now) {
+    cost_estimate cost;
+    cost.wait = estimate_wait(candidate, request, policy);
+    cost.zone = estimate_zone(candidate, request, policy);
+    const double age = to_seconds(now - candidate.load.measured_at - policy.fresh_report);
+    cost.width = from_seconds(std::max(0.0, age) * policy.width_per_age);
+    if (!request.model.empty()) {
+        const double cached = cached_tokens(candidate, request, policy, now);
+        cost.cached = token_count(static_cast<std::int64_t>(cached));
+        cost.prefill = from_seconds((static_cast<double>(request.prompt.value()) - cached) /
+                                    policy.prefill_tokens_per_second);
+    }
+    return cost;
+}
+
+result<routing_choice> choose(const fleet_index& fleet, const routing_request& request,
+                              const routing_policy& policy, const random_hook& random, time_point now) {
+    sampler candidates(fleet, request, random);
+    if (const candidate_group* group = group_of(fleet, request)) {
+        const auto own = group->zones.find(request.own_zone);
+        if (own != group->zones.end()) {
+            candidates.sample(own->second, policy.sample_size, [](const member&) { return true; });
+        }
+        if (own == group->zones.end() || group->zones.size() > 1) {
+            candidates.sample(group->all, policy.sample_size,
+                              [&request](const member& m) { return m.zone != request.own_zone; });
+        }
+        add_hinted(candidates, fleet, request, policy, now);
+    }
+    routing_choice best;
+    for (const member* candidate : candidates.candidates()) {
+        const cost_estimate cost = estimate_cost(*candidate, request, policy, now);
+        if (best.server == nullptr || cost.total() < best.cost.total()) {
+            best = {candidate, cost};
+        }
+    }
+    if (best.server == nullptr) {
+        const std::string& name = request.model.empty() ? request.plain_service.str() : request.model.str();
+        return fail(errc::no_backend_server, "no live backend server takes work for \"" + name + "\"");
+    }
+    return best;
+}
+
+} // namespace parsleypitch
