Add the retry policy and its budget

Retries depend on run state, repeatability, error code, deadline and a token bucket of 10% of the requests plus one a second per entry host.

--- /dev/null
+++ b/include/parsleypitch/retry/retry.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <parsleypitch/core/error.hpp>
+#include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/types.hpp>
+#include <parsleypitch/core/units.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace parsleypitch {
+
+/// @brief Why a failed attempt is retried or not; one counter each.
+enum class retry_reason {
+    refused_not_run,    // retried: the attempt did not run
+    repeatable_failure, // retried: the attempt may have run, and may run again
+    not_repeatable,     // given up: the attempt may have run and may not run again
+    permanent,          // given up: another server would answer the same
+    attempts_exhausted, // given up
+    deadline,           // given up: no time for another attempt
+    budget_exhausted,   // given up: too many retries on this entry host
+};
+
+inline constexpr std::size_t retry_reason_count = 7;
+
+/// @brief Name of a reason as it appears in metrics.
+[[nodiscard]] std::string_view to_string(retry_reason reason) noexcept;
+
+/// @brief Whether the reason permits a retry.
+[[nodiscard]] constexpr bool permits_retry(retry_reason reason) noexcept {
+    return reason == retry_reason::refused_not_run || reason == retry_reason::repeatable_failure;
+}
+
+/// @brief Token bucket that bounds retries to a share of the requests; one per entry host.
+///
+/// The caller serialises all calls.
+class retry_budget {
+  public:
+    struct config {
+        /// @brief Retries permitted per request.
+        double ratio = 0.1;
+        /// @brief Retries per second that are permitted without any request, so that a quiet entry host can
+        /// retry at all.
+        double minimum_per_second = 1;
+        /// @brief Most retries that can be saved up.
+        double burst = 10;
+    };
+
+    retry_budget() : retry_budget(config{}) {}
+    explicit retry_budget(config c) : m_config(c), m_tokens(c.burst) {}
+
+    /// @brief Counts a first attempt.
+    void on_request(time_point now);
+    /// @brief Takes one retry out of the budget.
+    /// @return false if the budget is exhausted
+    [[nodiscard]] bool take(time_point now);
+    [[nodiscard]] double available() const noexcept { return m_tokens; }
+
+  private:
+    void refill(time_point now);
+
+    config m_config;
+    double m_tokens;
+    std::optional<time_point> m_refilled_at;
+};
+
+/// @brief An attempt that failed.
+struct failed_attempt {
+    std::error_code code;
+    run_state state = run_state::outcome_unknown;
+    /// @brief The request may run again although it may have run; true for every generation.
+    bool repeatable = false;
+    attempt_number attempt{1};
+    /// @brief Time by which the request has to start.
+    time_point deadline;
+    /// @brief Time that the server asked to wait, if it did.
+    milliseconds retry_after{0};
+};
+
+/// @brief What to do after a failed attempt.
+struct retry_decision {
+    retry_reason reason = retry_reason::permanent;
+    /// @brief Time to wait before the next attempt, if the reason permits one.
+    duration delay{0};
+
+    [[nodiscard]] bool retry() const noexcept { return permits_retry(reason); }
+};
+
+struct retry_policy_config {
+    /// @brief Attempts at one request, the first included.
+    std::uint64_t max_attempts = 4;
+    /// @brief Upper limit of the delay before the second attempt; it doubles with each attempt.
+    duration base_delay = milliseconds(10);
+    duration max_delay = milliseconds(500);
+    /// @brief Time that an attempt needs at least; less time left ends the request.
+    duration least_attempt = milliseconds(5);
+};
+
+/// @brief Decides about retries by run state, repeatability, error code, deadline and budget.
+class retry_policy {
+  public:
+    explicit retry_policy(retry_policy_config config, random_hook random)
+        : m_config(config), m_random(std::move(random)) {}
+
+    /// @brief Decides about one failed attempt and takes a permitted retry out of the budget.
+    [[nodiscard]] retry_decision decide(const failed_attempt& failure, retry_budget& budget,
+                                        time_point now) const;
+
+  private:
+    [[nodiscard]] duration draw_delay(const failed_attempt& failure) const;
+
+    retry_policy_config m_config;
+    random_hook m_random;
+};
+
+/// @brief Whether another server may answer differently than with this error.
+[[nodiscard]] bool worth_another_server(const std::error_code& code) noexcept;
+
+} // namespace parsleypitch
--- /dev/null
+++ b/tests/unit-retry.cpp
@@ -0,0 +1,104 @@
+#include <parsleypitch/retry/retry.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace parsleypitch {
+
+class retry_fixture : public testing::Test {
+  protected:
+    failed_attempt failure(errc code, run_state state, bool repeatable) const {
+        return {make_error_code(code), state, repeatable, attempt_number(1), m_now + seconds(10)};
+    }
+    retry_reason decide(const failed_attempt& f) { return m_policy.decide(f, m_budget, m_now).reason; }
+
+    time_point m_now{seconds(1000)};
+    retry_budget m_budget;
+    retry_policy m_policy{{}, seeded_random_hook(11)};
+};
+
+// Guards against calls that run twice although they may not be repeated.
+TEST_F(retry_fixture, decide_on_a_call_that_may_have_run_retries_repeatable_calls_only) {
+    for (const run_state state : {run_state::ran, run_state::outcome_unknown}) {
+        EXPECT_EQ(decide(failure(errc::agent_broken, state, false)), retry_reason::not_repeatable);
+        EXPECT_EQ(decide(failure(errc::agent_broken, state, true)), retry_reason::repeatable_failure);
+    }
+    EXPECT_EQ(decide(failure(errc::queue_full, run_state::not_run, false)), retry_reason::refused_not_run);
+}
+
+// Guards against retries of errors that every server answers alike.
+TEST_F(retry_fixture, decide_on_an_error_of_the_request_gives_up) {
+    for (const errc code : {errc::malformed_request, errc::account_over_share, errc::caller_gone,
+                            errc::claims_unavailable, errc::no_backend_server, errc::deadline_exceeded}) {
+        EXPECT_EQ(decide(failure(code, run_state::not_run, true)), retry_reason::permanent);
+    }
+}
+
+// Guards against attempts that can't end in time, and against endless attempts.
+TEST_F(retry_fixture, decide_without_time_or_attempts_left_gives_up) {
+    failed_attempt late = failure(errc::agent_broken, run_state::not_run, true);
+    late.deadline = m_now + milliseconds(4);
+    EXPECT_EQ(decide(late), retry_reason::deadline);
+    failed_attempt last = failure(errc::agent_broken, run_state::not_run, true);
+    last.attempt = attempt_number(4);
+    EXPECT_EQ(decide(last), retry_reason::attempts_exhausted);
+    EXPECT_EQ(m_budget.available(), 10);
+}
+
+// Guards against retries in step (no jitter) and against delays without limit.
+TEST_F(retry_fixture, decide_draws_the_delay_from_the_whole_range_that_doubles_with_each_attempt) {
+    retry_policy policy({.max_attempts = 20}, seeded_random_hook(11));
+    for (const auto& [attempt, limit] : {std::pair{1, 10}, {2, 20}, {4, 80}, {15, 500}}) {
+        failed_attempt f = failure(errc::agent_broken, run_state::not_run, true);
+        f.attempt = attempt_number(static_cast<std::uint64_t>(attempt));
+        duration least = seconds(1);
+        duration most{0};
+        for (int i = 0; i < 200; ++i) {
+            retry_budget budget;
+            const duration delay = policy.decide(f, budget, m_now).delay;
+            least = std::min(least, delay);
+            most = std::max(most, delay);
+        }
+        EXPECT_LE(most, milliseconds(limit));
+        EXPECT_GT(most, milliseconds(limit) * 9 / 10);
+        EXPECT_LT(least, milliseconds(limit) / 10);
+    }
+}
+
+// Guards against a retry storm: half of the fleet has vanished, so that every second attempt fails, on an
+// entry host at the target size's 41 requests/s.
+TEST_F(retry_fixture, retries_with_half_of_the_fleet_gone_stay_within_the_budget) {
+    constexpr int requests_per_second = 41;
+    constexpr int run_seconds = 60;
+    const random_hook random = seeded_random_hook(3);
+    std::array<int, retry_reason_count> reasons{};
+    for (int i = 0; i < requests_per_second * run_seconds; ++i) {
+        m_now += duration(seconds(1)) / requests_per_second;
+        m_budget.on_request(m_now);
+        failed_attempt f = failure(errc::agent_unreachable, run_state::not_run, true);
+        while (random(2) == 0) {
+            const retry_reason reason = decide(f);
+            ++reasons[static_cast<std::size_t>(reason)];
+            if (!permits_retry(reason)) {
+                break;
+            }
+            f.attempt = f.attempt.next();
+        }
+    }
+    const int retries = reasons[static_cast<std::size_t>(retry_reason::refused_not_run)];
+    const double permitted = 0.1 * requests_per_second * run_seconds + 1.0 * run_seconds + 10;
+    EXPECT_LE(retries, permitted);
+    EXPECT_GE(retries, permitted * 0.9); // The budget is used, not only kept.
+    EXPECT_GT(reasons[static_cast<std::size_t>(retry_reason::budget_exhausted)], 0);
+}
+
+// Guards against a quiet entry host that can't retry at all.
+TEST_F(retry_fixture, exhausted_budget_without_requests_recovers_by_the_minimum) {
+    while (m_budget.take(m_now)) {
+    }
+    EXPECT_FALSE(m_budget.take(m_now + milliseconds(500)));
+    EXPECT_TRUE(m_budget.take(m_now + milliseconds(1100)));
+}
+
+} // namespace parsleypitch
