--- a/include/parsleypitch/admission/rank_queue.hpp
+++ b/include/parsleypitch/admission/rank_queue.hpp
@@ -100,13 +100,13 @@
     void correct_credit(const running_entry& done, double actual);
     void bound_credit(rank r);
     [[nodiscard]] bool due(rank r) const;
-    [[nodiscard]] bool fits(rank r, bool long_work, bool by_credit) const;
-    [[nodiscard]] bool start_from(rank r, bool by_credit, std::optional<queue_entry>& out);
+    [[nodiscard]] bool fits(rank r, bool long_work, bool by_credit, time_point now) const;
+    [[nodiscard]] bool start_from(rank r, bool by_credit, time_point now, std::optional<queue_entry>& out);
     [[nodiscard]] std::size_t minimum_reserve() const noexcept;
-    [[nodiscard]] std::size_t short_reserve() const noexcept;
+    [[nodiscard]] std::size_t short_reserve(time_point now) const noexcept;
     [[nodiscard]] std::size_t running_long() const noexcept;
-    [[nodiscard]] duration wait_behind(rank r, bool long_work, duration ahead) const;
-    [[nodiscard]] std::optional<refused_entry> make_room(const queue_entry& entry);
+    [[nodiscard]] duration wait_behind(rank r, bool long_work, duration ahead, time_point now) const;
+    [[nodiscard]] std::optional<refused_entry> make_room(const queue_entry& entry, time_point now);
     [[nodiscard]] refused_entry refuse(queue_entry entry, errc code, duration retry_after) const;
     [[nodiscard]] std::optional<queue_entry> remove_waiting(rank r, queue_entry_id id);
 
--- a/include/parsleypitch/routing/routing.hpp
+++ b/include/parsleypitch/routing/routing.hpp
@@ -71,7 +71,7 @@
     /// @brief Share of a prompt's prefill time by which a mixed engine delays its decoding streams.
     double mixed_interference = 0.25;
     double kv_bytes_per_second = 10e9;
-    byte_count kv_block_size{2 * 1024 * 1024};
+    byte_count kv_block_size{2'097'152}; // 2 MiB
     token_count kv_block_tokens{16};
     own_work_hook own_work_since;
     link_delay_hook link_delay;
--- a/src/admission/rank_queue.cpp
+++ b/src/admission/rank_queue.cpp
@@ -31,15 +31,15 @@
     const rank r = entry.priority;
     observe_arrival(entry);
     std::vector<refused_entry> refused;
-    const duration wait =
-        wait_behind(r, entry.long_work, m_ranks[index_of(r)].queue.ahead_of(entry.account, entry.weight));
+    const duration wait = wait_behind(r, entry.long_work,
+                                      m_ranks[index_of(r)].queue.ahead_of(entry.account, entry.weight), now);
     if (now + wait > entry.deadline) {
         const duration excess = now + wait - entry.deadline;
         refused.push_back(refuse(std::move(entry), errc::deadline_unreachable, excess));
         return refused;
     }
     if (waiting() >= m_config.capacity) {
-        std::optional<refused_entry> evicted = make_room(entry);
+        std::optional<refused_entry> evicted = make_room(entry, now);
         if (!evicted) {
             refused.push_back(refuse(std::move(entry), errc::queue_full, wait));
             return refused;
@@ -60,12 +60,12 @@
         return started;
     }
     for (const rank r : all_ranks) {
-        if (due(r) && start_from(r, true, started)) {
+        if (due(r) && start_from(r, true, now, started)) {
             return started;
         }
     }
     for (const rank r : all_ranks) {
-        if (start_from(r, false, started)) {
+        if (start_from(r, false, now, started)) {
             return started;
         }
     }
@@ -94,7 +94,7 @@
     std::vector<refused_entry> refused;
     while (!m_deadlines.empty() && m_deadlines.begin()->first < now) {
         const auto [id, r] = m_deadlines.begin()->second;
-        const duration wait = wait_behind(r, false, m_ranks[index_of(r)].queue.backlog());
+        const duration wait = wait_behind(r, false, m_ranks[index_of(r)].queue.backlog(), now);
         if (std::optional<queue_entry> entry = remove_waiting(r, id)) {
             refused.push_back(refuse(std::move(*entry), errc::deadline_exceeded, wait));
         }
@@ -115,11 +115,11 @@
     }
 }
 
-std::array<milliseconds, rank_count> rank_queue::expected_wait(time_point) const {
+std::array<milliseconds, rank_count> rank_queue::expected_wait(time_point now) const {
     std::array<milliseconds, rank_count> waits{};
     for (const rank r : all_ranks) {
         const duration backlog = m_ranks[index_of(r)].queue.backlog();
-        waits[index_of(r)] = to_milliseconds(wait_behind(r, running_long() > 0, backlog));
+        waits[index_of(r)] = to_milliseconds(wait_behind(r, running_long() > 0, backlog, now));
     }
     return waits;
 }
@@ -218,15 +218,15 @@
     return state.credit > 0 && static_cast<double>(running(r)) < std::floor(floor_rate(r)) + 1;
 }
 
-bool rank_queue::fits(rank r, bool long_work, bool by_credit) const {
-    const std::size_t shorts = short_reserve();
+bool rank_queue::fits(rank r, bool long_work, bool by_credit, time_point now) const {
+    const std::size_t shorts = short_reserve(now);
     if (long_work && running_long() + shorts >= m_config.slots) {
         return false;
     }
     if (r == rank::urgent) {
         return true;
     }
-    const std::size_t reserve = by_credit ? minimum_reserve() : urgent_reserve(*m_advanced_at);
+    const std::size_t reserve = by_credit ? minimum_reserve() : urgent_reserve(now);
     const std::size_t others = running(rank::normal) + running(rank::bulk);
     if (others + reserve >= m_config.slots) {
         return false;
@@ -237,9 +237,9 @@
     return !long_work || others_long == 0 || others_long + reserve + shorts < m_config.slots;
 }
 
-bool rank_queue::start_from(rank r, bool by_credit, std::optional<queue_entry>& out) {
+bool rank_queue::start_from(rank r, bool by_credit, time_point now, std::optional<queue_entry>& out) {
     rank_state& state = m_ranks[index_of(r)];
-    const queue_entry* next = state.queue.next(fits(r, false, by_credit), fits(r, true, by_credit));
+    const queue_entry* next = state.queue.next(fits(r, false, by_credit, now), fits(r, true, by_credit, now));
     if (next == nullptr) {
         return false;
     }
@@ -256,8 +256,8 @@
     return m_config.slots >= least_slots_for_reserves ? 1 : 0;
 }
 
-std::size_t rank_queue::short_reserve() const noexcept {
-    const bool recent = m_last_short && *m_advanced_at - *m_last_short <= m_config.short_memory;
+std::size_t rank_queue::short_reserve(time_point now) const noexcept {
+    const bool recent = m_last_short && now - *m_last_short <= m_config.short_memory;
     return recent && m_config.slots >= least_slots_for_reserves ? std::max<std::size_t>(1, m_config.slots / 8)
                                                                 : 0;
 }
@@ -270,9 +270,12 @@
     return count;
 }
 
-duration rank_queue::wait_behind(rank r, bool long_work, duration ahead) const {
+duration rank_queue::wait_behind(rank r, bool long_work, duration ahead, time_point now) const {
     const double slots = static_cast<double>(m_config.slots);
-    if (ahead == duration::zero() && m_running.size() < m_config.slots && fits(r, long_work, false)) {
+    // Short work does not wait for the long work of its rank while a slot is kept for it.
+    const bool first =
+        ahead == duration::zero() || (!long_work && m_ranks[index_of(r)].queue.next(true, false) == nullptr);
+    if (first && m_running.size() < m_config.slots && fits(r, long_work, false, now)) {
         return duration::zero();
     }
     double work = to_seconds(ahead) + m_mean_cost / 2; // half of a running entry remains on average
@@ -293,11 +296,11 @@
     return from_seconds(std::min({by_turn, by_floor, longest_wait_seconds}));
 }
 
-std::optional<refused_entry> rank_queue::make_room(const queue_entry& entry) {
+std::optional<refused_entry> rank_queue::make_room(const queue_entry& entry, time_point now) {
     for (auto r = all_ranks.rbegin(); r != all_ranks.rend() && *r > entry.priority; ++r) {
         const fair_queue& queue = m_ranks[index_of(*r)].queue;
         if (const queue_entry* newest = queue.newest()) {
-            const duration wait = wait_behind(*r, newest->long_work, queue.backlog());
+            const duration wait = wait_behind(*r, newest->long_work, queue.backlog(), now);
             return refuse(*remove_waiting(*r, newest->id), errc::queue_full, wait);
         }
     }
--- a/tests/unit-admission.cpp
+++ b/tests/unit-admission.cpp
@@ -64,6 +64,27 @@
     EXPECT_EQ(start_all().size(), 1U);
 }
 
+// Guards against a lookup that is refused because of the long work that its account has waiting.
+TEST_F(rank_queue_fixture, push_of_a_lookup_behind_own_long_work_is_accepted_if_a_short_slot_is_free) {
+    EXPECT_TRUE(push(rank::normal, "a", milliseconds(5)).empty());
+    EXPECT_EQ(start_all().size(), 1U);
+    EXPECT_TRUE(m_queue.finish(queue_entry_id(m_last_id), milliseconds(5), m_now));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_TRUE(push(rank::normal, "a", seconds(10), true).empty());
+    }
+    EXPECT_EQ(start_all().size(), 2U);
+    queue_entry lookup = entry(rank::normal, "a", milliseconds(5));
+    lookup.deadline = m_now + milliseconds(100);
+    EXPECT_TRUE(m_queue.push(lookup, m_now).empty());
+}
+
+// Guards against a load report of an agent that has not had any work yet.
+TEST_F(rank_queue_fixture, expected_wait_of_an_unused_queue_is_zero) {
+    for (const milliseconds wait : m_queue.expected_wait(m_now)) {
+        EXPECT_EQ(wait, milliseconds(0));
+    }
+}
+
 // Guards against an account with many entries that delays the single entry of another account.
 TEST_F(rank_queue_fixture, start_with_a_flooding_account_serves_the_other_account_second) {
     for (int i = 0; i < 5; ++i) {
