--- a/bench/micro-decisions.cpp
+++ b/bench/micro-decisions.cpp
@@ -67,7 +67,7 @@
     policy.link_delay = [](const availability_zone_id&, const availability_zone_id&) {
         return milliseconds(4);
     };
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(choose(fleet, request, policy, random, start_time));
     }
 }
@@ -75,7 +75,7 @@
 
 void build_fleet_index(benchmark::State& state) {
     const auto view = make_fleet(state.range(0));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const fleet_index fleet(view);
         benchmark::DoNotOptimize(&fleet);
     }
@@ -88,7 +88,7 @@
     for (const member& m : view->members) {
         reports.push_back(m.load);
     }
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(summarise_load(reports));
     }
 }
@@ -118,7 +118,7 @@
     load.slots = request_count(128);
     load.expected_wait.fill(milliseconds(2500)); // under pressure, so that the share is checked
     std::size_t next = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const admission_request r = request(next += 7919);
         benchmark::DoNotOptimize(control.check(r, load, duration(0), start_time));
         control.start(r);
@@ -144,7 +144,7 @@
     for (std::size_t i = 0; i < length; ++i) {
         benchmark::DoNotOptimize(push());
     }
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += microseconds(100);
         benchmark::DoNotOptimize(push());
         if (const auto started = queue.start_next(now)) {
