--- a/bench/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace parsleypitch::standins {}
