--- a/bench/baseline.hpp
+++ b/bench/baseline.hpp
@@ -8,16 +8,10 @@
 
 namespace parsleypitch::bench {
 
-/// @brief A fixed division of the engines; engines that are neither prefill nor decode are mixed.
-struct role_split {
-    std::size_t prefill = 0;
-    std::size_t decode = 0;
-};
-
-/// @brief Lines for the settings of entry hosts that turn the planner off and fix the engine roles.
+/// @brief Lines for the settings of entry hosts that turn the planner off and keep the engines in a split.
 using fixed_roles_hook = std::function<std::string(const role_split&)>;
 
-/// @brief The settings key for fixed roles.
+/// @brief The settings key that turns the planner off.
 /// @return an empty hook while the entry host has no such key; a baseline is not available then
 [[nodiscard]] fixed_roles_hook entry_settings_fixed_roles();
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -103,29 +103,40 @@
     return success();
 }
 
-result<void> fleet::start_stand_ins() {
-    const auto with = [](std::vector<std::string> command, const std::vector<std::string>& options) {
-        command.insert(command.end(), options.begin(), options.end());
-        return command;
-    };
+std::vector<std::string> fleet::backend_command(std::size_t index) const {
     const fleet_spec& spec = m_options.spec;
-    if (auto started =
-            start_member(process_role::platform, "platform",
-                         with({"parsleypitch-standin", "platform", "--listen", m_plan.platform.str()},
-                              spec.platform_options));
-        !started) {
+    const backend_plan& backend = m_plan.backends[index];
+    std::vector<std::string> command = {"parsleypitch-standin",
+                                        backend.is_engine ? "engine" : "service",
+                                        "--listen",
+                                        backend.backend.str(),
+                                        "--id",
+                                        backend.id.str()};
+    if (backend.is_engine) {
+        // The plan lists the engines before the plain services.
+        const std::string role(parsleypitch::to_string(m_options.split.role_of(index)));
+        command.insert(command.end(), {"--model", spec.model.str(), "--version", "1", "--role", role,
+                                       "--platform", m_plan.platform.str()});
+        if (spec.checks_fencing) {
+            command.emplace_back("--checks-fencing");
+        }
+    }
+    const auto& options = backend.is_engine ? spec.engine_options : spec.service_options;
+    command.insert(command.end(), options.begin(), options.end());
+    return command;
+}
+
+result<void> fleet::start_stand_ins() {
+    std::vector<std::string> platform = {"parsleypitch-standin", "platform", "--listen",
+                                         m_plan.platform.str()};
+    platform.insert(platform.end(), m_options.spec.platform_options.begin(),
+                    m_options.spec.platform_options.end());
+    if (auto started = start_member(process_role::platform, "platform", std::move(platform)); !started) {
         return started;
     }
-    for (const backend_plan& backend : m_plan.backends) {
-        const auto role = backend.is_engine ? process_role::engine : process_role::plain_service;
-        const std::vector<std::string> command = {"parsleypitch-standin",
-                                                  backend.is_engine ? "engine" : "service",
-                                                  "--listen",
-                                                  backend.backend.str(),
-                                                  "--id",
-                                                  backend.id.str()};
-        const auto& options = backend.is_engine ? spec.engine_options : spec.service_options;
-        if (auto started = start_member(role, backend.id.str(), with(command, options)); !started) {
+    for (std::size_t i = 0; i < m_plan.backends.size(); ++i) {
+        const auto role = m_plan.backends[i].is_engine ? process_role::engine : process_role::plain_service;
+        if (auto started = start_member(role, m_plan.backends[i].id.str(), backend_command(i)); !started) {
             return started;
         }
     }
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -33,6 +33,8 @@
     std::string folder;
     /// @brief Puts relays with `spec.delay` before the entry hosts of other zones.
     bool relays = false;
+    /// @brief Roles in which the engines start.
+    role_split split;
     /// @brief Lines added to the settings of each entry host, for example fixed engine roles.
     std::string entry_settings_extra;
 };
@@ -73,6 +75,7 @@
 
     result<void> start_member(process_role role, const std::string& name, std::vector<std::string> command);
     result<void> start_stand_ins();
+    [[nodiscard]] std::vector<std::string> backend_command(std::size_t index) const;
     result<void> start_agents_and_entries(kernel& host);
     result<void> apply_document();
     result<void> run_command(const std::string& name, std::vector<std::string> arguments);
--- a/bench/fleet_documents.cpp
+++ b/bench/fleet_documents.cpp
@@ -62,6 +62,13 @@
     return std::string(account_names[index_of(r)]) + "-key";
 }
 
+engine_role role_split::role_of(std::size_t index) const noexcept {
+    if (index < prefill) {
+        return engine_role::prefill;
+    }
+    return index < prefill + decode ? engine_role::decode : engine_role::mixed;
+}
+
 fleet_plan plan_fleet(const fleet_spec& spec, const std::function<endpoint()>& next_endpoint) {
     fleet_plan plan;
     plan.platform = next_endpoint();
--- a/bench/fleet_documents.hpp
+++ b/bench/fleet_documents.hpp
@@ -11,6 +11,15 @@
 /// @brief Account key of the load of one rank; its account may use that rank at most.
 [[nodiscard]] std::string account_key(rank r);
 
+/// @brief A fixed division of the engines; engines that are neither prefill nor decode are mixed.
+struct role_split {
+    std::size_t prefill = 0;
+    std::size_t decode = 0;
+
+    /// @brief Role of the engine with this index.
+    [[nodiscard]] engine_role role_of(std::size_t index) const noexcept;
+};
+
 /// @brief A backend server of the fleet with its addresses.
 struct backend_plan {
     backend_server_id id;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -60,6 +60,7 @@
     for (const role_split& split : all_splits(tried.fleet.engines)) {
         report_line("baseline: " + std::to_string(split.prefill) + " prefill, " +
                     std::to_string(split.decode) + " decode");
+        options.split = split;
         options.entry_settings_extra = fixed_roles(split);
         auto outcome = run_trial(tried, options);
         if (!outcome) {
--- a/bench/trial.cpp
+++ b/bench/trial.cpp
@@ -117,6 +117,7 @@
     fleet_settings.binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
     fleet_settings.folder = folder;
     fleet_settings.relays = options.relays;
+    fleet_settings.split = options.split;
     fleet_settings.entry_settings_extra = options.entry_settings_extra;
     return {std::make_shared<fleet>(std::move(fleet_settings)), std::make_shared<idle_meter>(),
             std::make_shared<load>(tried.fleet, draw_schedule(tried, options.seed)),
--- a/bench/trial.hpp
+++ b/bench/trial.hpp
@@ -17,6 +17,9 @@
     /// @brief Keeps the folder with settings and output of the processes; it is kept after a failure in any
     /// case.
     bool keep_folder = false;
+    /// @brief Roles in which the engines start.
+    role_split split;
+    /// @brief Lines added to the settings of each entry host.
     std::string entry_settings_extra;
     /// @brief Time between progress lines.
     seconds progress_interval{3};
--- a/bench/truth.cpp
+++ b/bench/truth.cpp
@@ -106,12 +106,14 @@
 
 void add_engine_truth(recorded_truth& to, const json& from) {
     for (const json& request : from.value("requests", json::array())) {
-        const std::int64_t emitted = request.value("emitted", request.value("tokens", std::int64_t{0}));
+        const std::int64_t emitted = request.value("tokens", std::int64_t{0});
         if (emitted > 0) {
             to.generated.insert(request_id(request.value("request_id", std::string())));
         }
     }
-    to.role_changes += from.value("role_changes", json::array()).size();
+    for (const json& change : from.value("changes", json::array())) {
+        to.role_changes += change.value("role_changed", false) ? 1 : 0;
+    }
 }
 
 void add_service_truth(recorded_truth& to, const json& from) {
--- a/tests/unit-bench-truth.cpp
+++ b/tests/unit-bench-truth.cpp
@@ -65,7 +65,7 @@
     m_records.back().end = call_end::refused;
     m_records.back().claimed = run_state::not_run;
     EXPECT_EQ(compare().false_not_run, 0U);
-    add_engine_truth(m_truth, {{"requests", {{{"request_id", "r1"}, {"emitted", 1}}}}});
+    add_engine_truth(m_truth, {{"requests", {{{"request_id", "r1"}, {"tokens", 1}}}}});
     EXPECT_EQ(compare().false_not_run, 1U);
 }
 
