--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.hpp"
 
+#include "cli/config_command.hpp"
 #include "cli/role_commands.hpp"
 
 #include <cxxopts.hpp>
@@ -15,8 +16,8 @@
                      std::function<int(const std::string&)> run) {
     return {name, summary, [name, summary, run = std::move(run)](const std::vector<std::string>& arguments) {
                 cxxopts::Options options("parsleypitch " + name, summary);
-                options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(), "FILE")(
-                    "h,help", "print this help");
+                options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(),
+                                      "FILE")("h,help", "print this help");
                 std::vector<const char*> argv = {"parsleypitch"};
                 for (const std::string& argument : arguments) {
                     argv.push_back(argument.c_str());
@@ -43,7 +44,8 @@
 
 std::vector<command> all_commands() {
     return {role_command("entry", "run an entry host", run_entry),
-            role_command("agent", "run the agent beside a backend server", run_agent)};
+            role_command("agent", "run the agent beside a backend server", run_agent),
+            config_command(default_config_hooks())};
 }
 
 } // namespace parsleypitch::cli
