--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,13 @@
 	$(BUILD)/parsleypitch-bench up --fleet bench/fleets/cymdeithas.toml --seconds 15
 	$(BUILD)/parsleypitch-bench up --fleet bench/fleets/tanzania.toml --seconds 15
 
+bench: build
+	mkdir -p $(BUILD)/bench
+	for file in bench/scenarios/*.toml; do \
+	  $(BUILD)/parsleypitch-bench run --scenario $$file --seed 1 \
+	    --out $(BUILD)/bench/$$(basename $$file .toml).json || exit 1; \
+	done
+
 asan: deps
 	cmake -S . -B build-asan -G Ninja -DPARSLEYPITCH_SANITIZER=address
 	cmake --build build-asan -j $(JOBS)
--- a/bench/call.cpp
+++ b/bench/call.cpp
@@ -164,9 +164,7 @@
 call_record answer_reader::finish(bool complete, duration since_intended) {
     m_record.total = since_intended;
     const json parsed = m_streamed ? json() : json::parse(m_body, nullptr, false);
-    if (m_record.status == 0) {
-        m_record.end = call_end::broken;
-    } else if (!complete && !m_streamed) {
+    if (m_record.status == 0 || (!complete && !m_streamed)) {
         m_record.end = call_end::broken;
     } else if (!m_streamed && !is_service_answer(m_record.status, parsed)) {
         read_refusal(m_body);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -322,7 +322,7 @@
     for (const member& each : m_members) {
         const process_usage used = read_usage(each.child.id());
         role_usage& sum = sums[each.role];
-        ++sum.processes;
+        sum.processes += used.resident > byte_count(0) ? 1 : 0;
         sum.total.processor_time += used.processor_time;
         sum.total.resident += used.resident;
     }
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -18,7 +18,7 @@
 
 [[nodiscard]] std::string_view to_string(process_role role) noexcept;
 
-/// @brief Usage summed over all processes of one role.
+/// @brief Usage summed over the running processes of one role.
 struct role_usage {
     std::size_t processes = 0;
     process_usage total;
@@ -58,7 +58,7 @@
     [[nodiscard]] result<void> cause(const fault_spec& fault);
     [[nodiscard]] result<void> undo(const fault_spec& fault);
 
-    /// @brief Usage by role now; processes that have ended count as zero.
+    /// @brief Usage by role now; processes that have ended are left out.
     [[nodiscard]] std::map<process_role, role_usage> usage() const;
     /// @brief Processes that ended although neither a fault nor `stop` ended them, with the end of their
     /// logs.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -79,11 +79,14 @@
         std::cout << "  " << to_string(r) << ": offered " << of["offered"] << ", served " << of["served"]
                   << ", within target " << of["in_target"] << ", p95 " << of["total"]["p95_ms"] << " ms\n";
     }
+    for (const auto& [reason, count] : summary["refusals"].items()) {
+        std::cout << "  refused as " << reason << ": " << count << "\n";
+    }
     std::cout << "role changes " << summary["role_changes"] << "\ntruth check: duplicate runs "
               << summary["duplicate_runs"] << ", false not run " << summary["false_not_run"] << ", truncated "
               << summary["truncated"] << ", foreign " << summary["foreign"] << ", rivals confirmed "
               << summary["rivals_confirmed"] << ", unrecorded holds " << summary["unrecorded_holds"] << "\n";
-    for (const auto* list : {"violations", "unexpected_ends", "killed_at_stop"}) {
+    for (const auto* list : {"violations", "unserved_kinds", "unexpected_ends", "killed_at_stop"}) {
         for (const nlohmann::json& each : summary[list]) {
             std::cout << "  " << list << ": " << each.get<std::string>() << "\n";
         }
--- a/bench/schedule.cpp
+++ b/bench/schedule.cpp
@@ -37,7 +37,8 @@
 };
 
 /// Appends a hold with its rivals and repeats.
-void append_holds(std::vector<arrival>& drawn, const phase_spec& phase, arrival first, std::uint64_t seed) {
+void append_holds(std::vector<arrival>& drawn, const phase_spec& phase, const arrival& first,
+                  std::uint64_t seed) {
     const std::string run = std::to_string(seed) + "-" + std::to_string(first.phase) + "-" +
                             std::to_string(index_of(first.rank)) + "-" + std::to_string(first.number);
     for (std::size_t rival = 0; rival < phase.rivals; ++rival) {
@@ -62,10 +63,11 @@
     const std::string stream = std::to_string(phase_index) + "/" + std::string(to_string(r));
     random_source random(hash_bytes(stream, seed));
     std::uint64_t number = 0;
-    for (double at = random.exponential(1 / rate); at < to_seconds(phase.length);
-         at += random.exponential(1 / rate)) {
+    double at = random.exponential(1 / rate);
+    while (at < to_seconds(phase.length)) {
         arrival next;
         next.at = phase.start + from_seconds(at);
+        at += random.exponential(1 / rate);
         next.phase = phase_index;
         next.kind = phase.kind;
         next.rank = r;
--- a/bench/summary.cpp
+++ b/bench/summary.cpp
@@ -177,6 +177,7 @@
     summary["truth_missing"] = outcome.truth.missing;
     summary["role_changes"] = outcome.truth.role_changes;
     summary["unexpected_ends"] = outcome.unexpected_ends;
+    summary["unserved_kinds"] = unserved_kinds(outcome);
     summary["killed_at_stop"] = outcome.killed_at_stop;
     summary["passed"] = all_passed(outcome);
 }
@@ -226,8 +227,23 @@
     return sums;
 }
 
+std::vector<std::string> unserved_kinds(const run_outcome& outcome) {
+    std::map<std::string, bool> answered;
+    for (const call_record& record : outcome.records) {
+        answered[kind_name(outcome.arrivals[record.arrival])] |= record.end == call_end::answered;
+    }
+    std::vector<std::string> unserved;
+    for (const auto& [kind, any] : answered) {
+        if (!any) {
+            unserved.push_back(kind);
+        }
+    }
+    return unserved;
+}
+
 bool all_passed(const run_outcome& outcome) {
-    return outcome.check.passed() && outcome.unexpected_ends.empty() && outcome.killed_at_stop.empty();
+    return outcome.check.passed() && unserved_kinds(outcome).empty() && outcome.unexpected_ends.empty() &&
+           outcome.killed_at_stop.empty();
 }
 
 json summarize(const scenario& ran, std::uint64_t seed, const run_outcome& outcome) {
--- a/bench/summary.hpp
+++ b/bench/summary.hpp
@@ -52,7 +52,12 @@
 /// @brief The summary of a run.
 [[nodiscard]] nlohmann::json summarize(const scenario& ran, std::uint64_t seed, const run_outcome& outcome);
 
-/// @brief Whether all checks against the truth passed and all processes behaved.
+/// @brief Kinds and ranks of which requests were sent and none was answered, for example `hold/urgent`.
+///
+/// Such a run can't violate the truth, so it must not count as passed.
+[[nodiscard]] std::vector<std::string> unserved_kinds(const run_outcome& outcome);
+
+/// @brief Whether all checks against the truth passed, every kind was served and all processes behaved.
 [[nodiscard]] bool all_passed(const run_outcome& outcome);
 
 } // namespace parsleypitch::bench
--- a/bench/trial.cpp
+++ b/bench/trial.cpp
@@ -160,6 +160,9 @@
 /// @return whether a stop signal came first
 bool wait_for_load(kernel& host, const trial_services& services, const trial_options& options) {
     host.every(options.progress_interval, [&services, report = options.report] {
+        if (services.requests->finished()) {
+            return;
+        }
         const duration since = std::chrono::steady_clock::now() - services.requests->origin();
         report(progress_line(services.requests->progress(), since));
     });
