--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -65,7 +65,8 @@
 }
 
 result<void> fleet::start(kernel& host) {
-    m_plan = plan_fleet(m_options.spec, free_endpoints());
+    m_next_endpoint = free_endpoints();
+    m_plan = plan_fleet(m_options.spec, m_next_endpoint);
     if (auto started = start_stand_ins(); !started) {
         return started;
     }
@@ -200,13 +201,12 @@
 
 std::vector<endpoint> fleet::entry_seeds(const entry_plan& entry, std::vector<zone_link>& links) const {
     std::vector<endpoint> seeds;
-    static const std::function<endpoint()> next_endpoint = free_endpoints();
     for (const entry_plan& other : m_plan.entries) {
         if (other.id == entry.id) {
             continue;
         }
         const bool relayed = m_options.relays && other.zone != entry.zone;
-        seeds.push_back(relayed ? next_endpoint() : other.peers);
+        seeds.push_back(relayed ? m_next_endpoint() : other.peers);
         if (relayed) {
             links.push_back({entry.zone, other.zone, seeds.back(), other.peers});
         }
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -90,6 +90,8 @@
     result<void> set_cut(const std::string& zone, bool cut);
 
     fleet_options m_options;
+    /// One source for the processes and the relays: a planned port is free until its process binds it.
+    std::function<endpoint()> m_next_endpoint;
     fleet_plan m_plan;
     std::shared_ptr<delay_proxy> m_proxy;
     mutable std::mutex m_mutex;
