Keep one authority lease per availability zone

The key of the lease object becomes an option. A role change concerns the engines of one zone, and a lease per zone keeps the detail for the decision inside the zone.

--- a/include/parsleypitch/lease/authority_service.hpp
+++ b/include/parsleypitch/lease/authority_service.hpp
@@ -14,6 +14,8 @@
 /// @brief Hooks and periods of `authority_service`; the on_* hooks run on the control thread.
 struct authority_options {
     object_store store;
+    /// @brief The lease object; see `lease_key`.
+    object_key key;
     lease_holder self;
     clock_hook clock;
     /// @brief Waits between attempts of one write; called on a worker thread.
@@ -28,7 +30,7 @@
     milliseconds read_period{1000};
 };
 
-/// @brief Runs the lease state machine for `lease/authority`; the control thread owns the state.
+/// @brief Runs the lease state machine for one lease object; the control thread owns the state.
 class authority_service final : public service, public std::enable_shared_from_this<authority_service> {
   public:
     explicit authority_service(authority_options options);
--- a/src/lease/authority_service.cpp
+++ b/src/lease/authority_service.cpp
@@ -1,6 +1,7 @@
 #include "lease_codec.hpp"
 
 #include <parsleypitch/lease/authority_service.hpp>
+#include <parsleypitch/lease/lease_object.hpp>
 
 #include <glog/logging.h>
 
@@ -8,11 +9,6 @@
 
 namespace detail {
 
-const object_key& lease_key() {
-    static const object_key key("lease/authority");
-    return key;
-}
-
 result<write_history> lease_history(const std::string& bytes) {
     auto value = decode_lease(bytes);
     if (!value) {
@@ -21,19 +17,6 @@
     return std::move(value.value().writes);
 }
 
-result<stored_lease> read_lease(const object_store& store) {
-    const auto read = store.get(lease_key());
-    if (!read) {
-        return read.error().code == errc::object_not_found ? result<stored_lease>(stored_lease{})
-                                                           : result<stored_lease>(read.error());
-    }
-    auto value = decode_lease(read.value().bytes);
-    if (!value) {
-        return value.error();
-    }
-    return stored_lease{read.value().version, std::move(value.value())};
-}
-
 } // namespace detail
 
 authority_service::authority_service(authority_options options)
@@ -117,8 +100,8 @@
 
 void authority_service::start_read(time_point now) {
     m_next_read = now + m_options.read_period;
-    run_on_worker([store = m_options.store] {
-        return [read = detail::read_lease(store)](authority_service& self) { self.finish_read(read); };
+    run_on_worker([store = m_options.store, key = m_options.key] {
+        return [read = read_lease(store, key)](authority_service& self) { self.finish_read(read); };
     });
 }
 
@@ -126,9 +109,9 @@
     const write_id id("authority-" + m_options.self.id.str() + "-" +
                       std::to_string(m_options.self.born.value()) + "-" + std::to_string(++m_write_sequence));
     const lease_proposal proposal = m_state.propose(now, id);
-    run_on_worker([writer = m_writer, proposal, id, now] {
-        const auto written = writer.write({detail::lease_key(), proposal.expected, proposal.base, id,
-                                           detail::encode_lease(proposal.value)});
+    run_on_worker([writer = m_writer, key = m_options.key, proposal, id, now] {
+        const auto written =
+            writer.write({key, proposal.expected, proposal.base, id, detail::encode_lease(proposal.value)});
         return
             [proposal, written, now](authority_service& self) { self.finish_write(proposal, written, now); };
     });
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -1,6 +1,7 @@
 #include "memory_object_store.hpp"
 
 #include <parsleypitch/lease/authority_service.hpp>
+#include <parsleypitch/lease/lease_object.hpp>
 
 #include <gtest/gtest.h>
 
@@ -85,6 +86,7 @@
     void SetUp() override {
         authority_options options;
         options.store = m_store.hooks();
+        options.key = lease_key(availability_zone_id("zone"));
         options.self = {entry_host_id("host"), incarnation(1)};
         options.clock = [this] { return time_point(std::chrono::hours(1)) + milliseconds(m_now_ms); };
         options.back_off = [](unsigned) {};
