--- a/bench/summary.cpp
+++ b/bench/summary.cpp
@@ -265,7 +265,7 @@
                     {"sent", outcome.records.size()},
                     {"ends", all.ends},
                     {"refusals", all.refusals},
-                    {"retries", sum_by_reason(outcome.metrics, "retr")},
+                    {"retries", sum_by_reason(outcome.metrics, "parsleypitch_retries_total")},
                     {"connect_retries", all.connect_retries},
                     {"send_lag", all.send_lag.to_json()}};
     add_service_by_rank(summary, all);
--- a/tests/unit-bench-truth.cpp
+++ b/tests/unit-bench-truth.cpp
@@ -125,6 +125,25 @@
     EXPECT_EQ(compare().truncated, 1U);
 }
 
+// Guards against a run that passes because nothing was answered, so that nothing could be wrong.
+TEST_F(bench_truth_fixture, kind_without_any_answer_is_reported_and_fails_the_run) {
+    add_hold("r1", "k1", call_end::refused);
+    run_outcome outcome;
+    outcome.arrivals = m_arrivals;
+    outcome.records = m_records;
+    EXPECT_EQ(unserved_kinds(outcome), std::vector<std::string>{"hold/normal"});
+    EXPECT_FALSE(all_passed(outcome));
+}
+
+TEST_F(bench_truth_fixture, retries_are_summed_by_reason_over_entry_hosts) {
+    const std::string text = "# TYPE parsleypitch_retries_total counter\n"
+                             "parsleypitch_retries_total{reason=\"queue_full\"} 2\n"
+                             "parsleypitch_answers_total{reason=\"queue_full\"} 9\n";
+    const auto sums = sum_by_reason({text, text}, "parsleypitch_retries_total");
+    ASSERT_EQ(sums.size(), 1U);
+    EXPECT_DOUBLE_EQ(sums.at("queue_full"), 4);
+}
+
 // Guards against a best split per phase that is taken from one run only.
 TEST_F(bench_truth_fixture, best_splits_differ_by_phase) {
     scenario ran;
