Add the order gate and the order service of the agent

An agent carries out one order at a time, checks the fencing number again before the write and verifies the result by read-back. After an order whose outcome is open, it accepts nothing until the engine's state has settled.

--- a/include/parsleypitch/core/error.hpp
+++ b/include/parsleypitch/core/error.hpp
@@ -53,6 +53,8 @@
     order_in_progress = 403,
     order_failed = 404,
     agent_not_ready = 405,
+    not_fenced = 406,
+    order_unsettled = 407,
     // 5xx: configuration
     config_not_accepted = 501,
     config_hash_mismatch = 502,
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -92,6 +92,10 @@
         return "order_failed";
     case errc::agent_not_ready:
         return "agent_not_ready";
+    case errc::not_fenced:
+        return "not_fenced";
+    case errc::order_unsettled:
+        return "order_unsettled";
     case errc::config_not_accepted:
         return "config_not_accepted";
     case errc::config_hash_mismatch:
--- /dev/null
+++ b/src/orders/order_gate.cpp
@@ -0,0 +1,105 @@
+#include <parsleypitch/orders/order_gate.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+namespace detail {
+
+error stale(fencing_number number, fencing_number highest) {
+    return fail(errc::fencing_number_stale,
+                std::to_string(number.value()) + " is below " + std::to_string(highest.value()));
+}
+
+} // namespace detail
+
+void order_gate::raise(fencing_number seen) {
+    m_highest = std::max(m_highest, seen);
+}
+
+void order_gate::learn_from_lease(fencing_number seen) {
+    raise(seen);
+    m_number_learnt = true;
+}
+
+void order_gate::learn_from_peer(fencing_number seen) {
+    raise(seen);
+    m_number_learnt = m_number_learnt || seen > fencing_number(0);
+}
+
+void order_gate::observe(const backend_status& seen, time_point asked_at) {
+    learn_from_peer(seen.seen_by_engine);
+    if (!seen.engine.changing && asked_at >= m_settle_from + late_write_limit) {
+        m_state_settled = true;
+    }
+}
+
+void order_gate::observe_silence(time_point at) {
+    if (!m_state_settled) {
+        m_settle_from = std::max(m_settle_from, at);
+    }
+}
+
+result<void> order_gate::ready() const {
+    if (!m_state_settled) {
+        return fail(errc::agent_not_ready, "the engine's state has not been read back as not changing");
+    }
+    if (!m_number_learnt) {
+        return fail(errc::agent_not_ready, "no fencing number learnt from the lease, a peer or the engine");
+    }
+    return success();
+}
+
+result<void> order_gate::begin_fence(fencing_number number) {
+    BOOST_OUTCOME_TRY(ready());
+    BOOST_OUTCOME_TRY(check(number));
+    raise(number);
+    return success();
+}
+
+result<void> order_gate::acknowledge(fencing_number number) {
+    BOOST_OUTCOME_TRY(ready());
+    BOOST_OUTCOME_TRY(check(number));
+    m_fenced = number;
+    return success();
+}
+
+result<order_admission> order_gate::begin_order(fencing_number number, const std::string& order_id) {
+    BOOST_OUTCOME_TRY(ready());
+    BOOST_OUTCOME_TRY(check(number));
+    if (number != m_fenced) {
+        return fail(errc::not_fenced, "fence " + std::to_string(number.value()) + " first");
+    }
+    if (m_order_in_progress) {
+        return fail(errc::order_in_progress, "the agent carries out another order");
+    }
+    if (std::find(m_applied.begin(), m_applied.end(), order_id) != m_applied.end()) {
+        return order_admission::already_applied;
+    }
+    m_order_in_progress = true;
+    return order_admission::run;
+}
+
+result<void> order_gate::check(fencing_number number) const {
+    if (number < m_highest) {
+        return detail::stale(number, m_highest);
+    }
+    return success();
+}
+
+void order_gate::finish(const std::string& order_id, order_end end, time_point now) {
+    m_order_in_progress = false;
+    if (end == order_end::unsettled) {
+        m_state_settled = false;
+        m_settle_from = now;
+    }
+    if (end != order_end::applied) {
+        return;
+    }
+    m_applied.push_back(order_id);
+    if (m_applied.size() > kept_order_ids) {
+        m_applied.pop_front();
+    }
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/orders/order_service.cpp
@@ -0,0 +1,177 @@
+#include <parsleypitch/orders/order_service.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+namespace detail {
+
+constexpr milliseconds prepare_period{200};
+
+std::vector<adapter_id> sorted(std::vector<adapter_id> adapters) {
+    std::sort(adapters.begin(), adapters.end());
+    return adapters;
+}
+
+} // namespace detail
+
+bool reached(const engine_state& state, const engine_state& target) {
+    return !state.changing && state.role == target.role && state.model == target.model &&
+           state.version == target.version &&
+           detail::sorted(state.adapters) == detail::sorted(target.adapters);
+}
+
+order_service::order_service(order_hooks hooks, order_limits limits)
+    : m_hooks(std::move(hooks)), m_limits(limits), m_gate(m_hooks.clock()) {
+}
+
+result<void> order_service::start(kernel& host) {
+    m_kernel = &host;
+    host.every(detail::prepare_period, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->prepare_on_worker();
+        }
+    });
+    return success();
+}
+
+void order_service::prepare_on_worker() {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_preparing || m_gate.ready()) {
+            return;
+        }
+        m_preparing = true;
+    }
+    m_kernel->post_worker([self = shared_from_this()] {
+        self->prepare();
+        const std::lock_guard lock(self->m_mutex);
+        self->m_preparing = false;
+    });
+}
+
+void order_service::prepare() {
+    const bool number_learnt = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_gate.number_learnt();
+    }();
+    const auto term = number_learnt ? result<fencing_number>(fencing_number(0)) : m_hooks.read_lease();
+    if (term) {
+        const std::lock_guard lock(m_mutex);
+        m_gate.learn_from_lease(term.value());
+    }
+    (void)read_back();
+}
+
+void order_service::learn_from_peer(fencing_number seen) {
+    const std::lock_guard lock(m_mutex);
+    m_gate.learn_from_peer(seen);
+}
+
+fencing_number order_service::highest() const {
+    const std::lock_guard lock(m_mutex);
+    return m_gate.highest();
+}
+
+result<backend_status> order_service::read_back() {
+    const time_point asked_at = m_hooks.clock();
+    auto seen = m_hooks.read_back();
+    const std::lock_guard lock(m_mutex);
+    if (seen) {
+        m_gate.observe(seen.value(), asked_at);
+    } else {
+        m_gate.observe_silence(m_hooks.clock());
+    }
+    return seen;
+}
+
+result<engine_state> order_service::fence(fencing_number number) {
+    {
+        std::unique_lock lock(m_mutex);
+        BOOST_OUTCOME_TRY(m_gate.begin_fence(number));
+        m_idle.wait(lock, [this] { return !m_gate.order_in_progress(); });
+    }
+    BOOST_OUTCOME_TRY(seen, read_back());
+    const std::lock_guard lock(m_mutex);
+    BOOST_OUTCOME_TRY(m_gate.acknowledge(number));
+    LOG(INFO) << "orders: fenced with " << number;
+    return seen.engine;
+}
+
+result<engine_state> order_service::order(const engine_order& wanted) {
+    order_admission admission{};
+    {
+        const std::lock_guard lock(m_mutex);
+        BOOST_OUTCOME_TRY(admitted, m_gate.begin_order(wanted.fencing, wanted.order_id));
+        admission = admitted;
+    }
+    if (admission == order_admission::already_applied) {
+        BOOST_OUTCOME_TRY(seen, read_back());
+        return seen.engine;
+    }
+    m_hooks.close_for_change(m_limits.finish);
+    auto done = carry_out(wanted);
+    m_hooks.on_changed();
+    m_hooks.reopen();
+    end_order(wanted.order_id, done);
+    return done;
+}
+
+void order_service::end_order(const std::string& order_id, const result<engine_state>& done) {
+    LOG(INFO) << "orders: " << order_id << (done ? " applied" : ": " + to_string(done.error()));
+    const order_end end = done                                         ? order_end::applied
+                          : done.error().code == errc::order_unsettled ? order_end::unsettled
+                                                                       : order_end::failed;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_gate.finish(order_id, end, m_hooks.clock());
+    }
+    m_idle.notify_all();
+}
+
+result<engine_state> order_service::carry_out(const engine_order& wanted) {
+    BOOST_OUTCOME_TRY(before, read_back());
+    if (before.engine.changing) {
+        return fail(errc::order_in_progress, "the engine carries out an earlier change");
+    }
+    if (reached(before.engine, wanted.target)) {
+        return before.engine;
+    }
+    {
+        // The drain takes seconds, in which a successor may have fenced this engine.
+        const std::lock_guard lock(m_mutex);
+        BOOST_OUTCOME_TRY(m_gate.check(wanted.fencing));
+    }
+    const auto written = m_hooks.write(wanted);
+    const time_point sent_at = m_hooks.clock();
+    if (!written && written.error().code != errc::backend_unreachable) {
+        // The read-back takes the engine's own highest number if it refused an old one.
+        (void)read_back();
+        return written.error();
+    }
+    return verify(wanted.target, sent_at);
+}
+
+result<engine_state> order_service::verify(const engine_state& target, time_point sent_at) {
+    time_point last_answer = sent_at;
+    for (time_point now = sent_at; now < sent_at + m_limits.verify; now = m_hooks.clock()) {
+        const auto seen = read_back();
+        if (seen && reached(seen.value().engine, target)) {
+            return seen.value().engine;
+        }
+        if (seen && !seen.value().engine.changing && now >= sent_at + late_write_limit) {
+            return fail(errc::order_failed, "the engine is in another state and no change is in progress");
+        }
+        if (seen) {
+            last_answer = now;
+        } else if (now >= last_answer + m_limits.silent) {
+            return fail(errc::order_unsettled, "the engine stopped answering: " + to_string(seen.error()));
+        }
+        m_hooks.wait(m_limits.period);
+    }
+    return fail(errc::order_unsettled, "the engine did not reach the target in time");
+}
+
+} // namespace parsleypitch
