Use claims, rank queue, routing, admission and retry decisions on the request path

Cause: the thin path chose the least loaded server, queued by strict rank and refused every call that may not be repeated. Change: the agent's gate follows rank_queue with floors from the adopted configuration; the entry host routes, admits and retries by the decision classes; calls that may not be repeated run under a claim at the partition's owner.

--- a/include/parsleypitch/admission/admission_control.hpp
+++ b/include/parsleypitch/admission/admission_control.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <parsleypitch/admission/refusal.hpp>
 #include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/refusal.hpp>
 #include <parsleypitch/membership/member.hpp>
 
 #include <array>
--- a/include/parsleypitch/admission/rank_queue.hpp
+++ b/include/parsleypitch/admission/rank_queue.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <parsleypitch/admission/fair_queue.hpp>
-#include <parsleypitch/admission/refusal.hpp>
+#include <parsleypitch/core/refusal.hpp>
 
 #include <array>
 #include <optional>
--- a/include/parsleypitch/admission/refusal.hpp
+++ b/include/parsleypitch/core/refusal.hpp
@@ -6,10 +6,10 @@
 
 namespace parsleypitch {
 
-/// @brief Why a request was refused before it ran, and when the caller may try again.
+/// @brief A typed refusal or failure, whether the request ran, and when the caller may try again.
 struct refusal {
     error why;
-    run_state state = run_state::not_run;
+    run_state ran = run_state::not_run;
     milliseconds retry_after{0};
 };
 
--- a/include/parsleypitch/entry/front_end.hpp
+++ b/include/parsleypitch/entry/front_end.hpp
@@ -41,8 +41,10 @@
     std::function<std::shared_ptr<const environment>()> current_environment;
     std::function<entry_health()> health;
     std::function<request_id()> new_request_id;
-    /// @brief Admits a request or refuses it before it runs.
-    std::function<result<void>(const caller_request&)> admit;
+    /// @brief Admits a request, which ends with `ended`, or refuses it before it runs.
+    std::function<std::optional<refusal>(const caller_request&)> admit;
+    /// @brief Ends an admitted request.
+    std::function<void(const caller_request&)> ended;
     /// @brief Runs a call, with its claim if it may not be repeated.
     std::function<std::variant<plain_answer, refusal>(const caller_request&)> call;
     /// @brief Decisions of the attempts at generations.
--- a/include/parsleypitch/entry/request_path.hpp
+++ b/include/parsleypitch/entry/request_path.hpp
@@ -17,6 +17,8 @@
     request_id id;
     caller_id caller;
     rank priority = rank::normal;
+    /// @brief Share of the caller among the accounts of its rank.
+    double weight = 1;
     /// @brief Latest time at which the work may start.
     time_point start_by;
     std::variant<generate_work, call_work> work;
@@ -47,6 +49,10 @@
     error why;
     run_state ran = run_state::not_run;
     attempt_number attempt;
+    /// @brief Tokens have been delivered already.
+    bool begun = false;
+    /// @brief Time that the server asked to wait.
+    milliseconds retry_after{0};
 };
 
 /// @brief Decisions and effects that the request path takes from other services.
@@ -89,7 +95,7 @@
     [[nodiscard]] std::optional<refusal> open();
     [[nodiscard]] std::optional<step> take(const execute_event& event);
     /// Closes the attempt; returns a refusal if there is no further attempt.
-    [[nodiscard]] std::optional<refusal> fail_attempt(const error& why, run_state ran);
+    [[nodiscard]] std::optional<refusal> fail_attempt(const refusal& refused);
     void close(const std::optional<load_report>& load);
 
     caller_request m_request;
--- a/include/parsleypitch/streams/execute.hpp
+++ b/include/parsleypitch/streams/execute.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/refusal.hpp>
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
@@ -72,13 +73,6 @@
     endpoint kv_source;
 };
 
-/// @brief A typed refusal or failure and whether the request ran.
-struct refusal {
-    error why;
-    run_state ran = run_state::not_run;
-    milliseconds retry_after{0};
-};
-
 /// @brief One event of the answer to an attempt.
 struct execute_event {
     request_id id;
--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -9,6 +9,7 @@
 
 // Threads beyond slots and queue serve orders and refusals.
 constexpr std::int64_t spare_threads = 32;
+constexpr milliseconds soon{100};
 
 } // namespace
 
@@ -47,40 +48,58 @@
         return !context->IsCancelled() &&
                writer->Write(wire::to_wire(with_load, std::chrono::steady_clock::now()));
     };
-    run(work, emit);
+    run(work, emit, [context] { return context->IsCancelled(); });
     return grpc::Status::OK;
 }
 
-void agent_server::run(const execute_request& request, const event_sink& emit) {
+void agent_server::run(const execute_request& request, const event_sink& emit,
+                       const std::function<bool()>& abandoned) {
     const auto snapshot = m_monitor->snapshot();
     if (!snapshot->reachable) {
-        refuse(request, emit, fail(errc::backend_unreachable, m_settings.backend.str()));
+        refuse(request, emit,
+               {fail(errc::backend_unreachable, m_settings.backend.str()), run_state::not_run, soon});
         return;
     }
     if (snapshot->status.engine.changing) {
-        refuse(request, emit, fail(errc::backend_refused, "an order is in progress"));
+        refuse(request, emit,
+               {fail(errc::backend_refused, "an order is in progress"), run_state::not_run, soon});
         return;
     }
-    if (const auto entered = m_gate->enter(request); !entered) {
+    const auto entered = m_gate->enter(request, abandoned);
+    if (!entered) {
         refuse(request, emit, entered.error());
         return;
     }
-    const time_point started = std::chrono::steady_clock::now();
+    run_inside(request, emit, entered.value());
+}
+
+void agent_server::run_inside(const execute_request& request, const event_sink& emit, queue_entry_id entry) {
+    token_count tokens;
+    bool interrupted = false;
     m_backend.run(request, [&](const execute_event& event) {
-        const auto* refused = std::get_if<refusal>(&event.event);
-        if (refused != nullptr) {
+        if (std::holds_alternative<token_event>(event.event)) {
+            tokens += token_count(1);
+            // A stream that outlasts the wait before a role change is ended here and resumed by its entry
+            // host.
+            interrupted = m_gate->interrupting();
+            return !interrupted && emit(event);
+        }
+        if (const auto* refused = std::get_if<refusal>(&event.event)) {
             m_metrics->count(metric_name("parsleypitch_backend_failures_total"),
                              {{"reason", reason_name(refused->why.code)}});
             m_monitor->poll_soon();
         }
         return emit(event);
     });
-    m_gate->leave(std::chrono::steady_clock::now() - started);
+    m_gate->leave(entry, request, tokens);
+    if (interrupted) {
+        refuse(request, emit, {fail(errc::backend_leaving, "a role change begins"), run_state::ran, {}});
+    }
 }
 
-void agent_server::refuse(const execute_request& request, const event_sink& emit, const error& why) {
-    m_metrics->count(metric_name("parsleypitch_refusals_total"), {{"reason", reason_name(why.code)}});
-    (void)emit({request.id, request.attempt, refusal{why, run_state::not_run, milliseconds(100)}, {}});
+void agent_server::refuse(const execute_request& request, const event_sink& emit, const refusal& refused) {
+    m_metrics->count(metric_name("parsleypitch_refusals_total"), {{"reason", reason_name(refused.why.code)}});
+    (void)emit({request.id, request.attempt, refused, {}});
 }
 
 } // namespace parsleypitch::detail
--- a/src/agent/agent_services.hpp
+++ b/src/agent/agent_services.hpp
@@ -25,8 +25,9 @@
 /// @brief Polls the backend server and tells the entry hosts about it; kernel service "backend_monitor".
 class backend_monitor final : public service {
   public:
+    /// @param on_reply sees the replies of entry hosts to heartbeats, on the control thread
     backend_monitor(const agent_settings& settings, backend_hooks backend, std::shared_ptr<work_gate> gate,
-                    incarnation born);
+                    incarnation born, heartbeat_sender::reply_hook on_reply);
 
     [[nodiscard]] service_name name() const override { return service_name("backend_monitor"); }
     [[nodiscard]] result<void> start(kernel& host) override;
@@ -49,6 +50,7 @@
     backend_hooks m_backend;
     std::shared_ptr<work_gate> m_gate;
     incarnation m_born;
+    heartbeat_sender::reply_hook m_on_reply;
     kernel* m_kernel = nullptr;
     entry_directory m_directory;
     std::unique_ptr<heartbeat_sender> m_sender;
@@ -70,8 +72,9 @@
   private:
     grpc::Status Execute(grpc::ServerContext* context, const v1::ExecuteRequest* request,
                          grpc::ServerWriter<v1::ExecuteEvent>* writer) override;
-    void run(const execute_request& request, const event_sink& emit);
-    void refuse(const execute_request& request, const event_sink& emit, const error& why);
+    void run(const execute_request& request, const event_sink& emit, const std::function<bool()>& abandoned);
+    void run_inside(const execute_request& request, const event_sink& emit, queue_entry_id entry);
+    void refuse(const execute_request& request, const event_sink& emit, const refusal& refused);
 
     agent_settings m_settings;
     backend_hooks m_backend;
--- a/src/agent/backend_monitor.cpp
+++ b/src/agent/backend_monitor.cpp
@@ -15,8 +15,10 @@
 } // namespace
 
 backend_monitor::backend_monitor(const agent_settings& settings, backend_hooks backend,
-                                 std::shared_ptr<work_gate> gate, incarnation born)
+                                 std::shared_ptr<work_gate> gate, incarnation born,
+                                 heartbeat_sender::reply_hook on_reply)
     : m_settings(settings), m_backend(std::move(backend)), m_gate(std::move(gate)), m_born(born),
+      m_on_reply(std::move(on_reply)),
       m_directory(settings.zone, settings.seeds, std::chrono::steady_clock::now()),
       m_snapshot(std::make_shared<const backend_snapshot>()) {
 }
@@ -25,7 +27,7 @@
     m_kernel = &host;
     m_sender = std::make_unique<heartbeat_sender>(
         host,
-        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration) {
+        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
             const time_point now = std::chrono::steady_clock::now();
             for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
                 m_directory.learn(
@@ -33,6 +35,7 @@
                     now);
             }
             m_directory.answered(from, now);
+            m_on_reply(from, reply, round_trip);
         },
         [](const endpoint&) {});
     host.every(poll_period, [this] { poll(); });
--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -90,8 +90,11 @@
         execute_event event{m_request.id, m_request.attempt, {}, {}};
         if (parsed.value("done", false)) {
             m_done = true;
+            // The engine counts the tokens of this attempt only.
+            const auto& work = std::get<generate_work>(m_request.work);
+            const token_count before(static_cast<std::int64_t>(work.resume_from.value()));
             event.event =
-                generation_end{token_count(parsed.value("tokens", std::int64_t{0})),
+                generation_end{before + token_count(parsed.value("tokens", std::int64_t{0})),
                                token_count(parsed.value("cached_prompt_tokens", std::int64_t{0})), m_engine};
         } else {
             event.event =
--- a/src/agent/work_gate.cpp
+++ b/src/agent/work_gate.cpp
@@ -8,88 +8,169 @@
 
 // Weight of the newest sample in the moving average of the time a request occupies a slot.
 constexpr double service_time_weight = 0.1;
+// A waiting thread looks this often whether its caller is gone.
+constexpr milliseconds abandoned_check{200};
 
 } // namespace
 
 work_gate::work_gate(request_count slots, request_count queue_limit, clock_hook clock)
-    : m_slots(slots), m_queue_limit(queue_limit), m_clock(std::move(clock)) {
+    : m_slots(slots), m_clock(std::move(clock)), m_config([&] {
+          rank_queue_config config;
+          config.slots = static_cast<std::size_t>(slots.value());
+          config.capacity = static_cast<std::size_t>(queue_limit.value());
+          return config;
+      }()),
+      m_queue(m_config) {
 }
 
-std::int64_t work_gate::waiting() const {
-    std::size_t total = 0;
-    for (const auto& queue : m_waiting) {
-        total += queue.size();
-    }
-    return static_cast<std::int64_t>(total);
+void work_gate::set_floors(const std::array<double, rank_count>& floors) {
+    const std::lock_guard lock(m_mutex);
+    m_config.floors = floors;
+    m_queue.configure(m_config, m_clock());
 }
 
-result<void> work_gate::enter(const execute_request& request) {
-    std::unique_lock lock(m_mutex);
-    if (m_draining) {
-        return fail(errc::backend_leaving, "the agent is draining");
+queue_entry work_gate::make_entry(const execute_request& request) {
+    const time_point now = m_clock();
+    m_last_entry = m_last_entry.next();
+    queue_entry entry;
+    entry.id = m_last_entry;
+    entry.priority = request.priority;
+    entry.account = request.caller;
+    entry.cost = m_costs.estimate(request);
+    entry.arrival = now;
+    entry.deadline = now + request.deadline;
+    entry.long_work = m_costs.is_long(request);
+    return entry;
+}
+
+std::optional<refusal> work_gate::refuse_while_closed() const {
+    constexpr milliseconds soon{100};
+    if (m_state == gate_state::draining) {
+        return refusal{fail(errc::backend_leaving, "the agent is draining"), run_state::not_run, soon};
     }
-    if (m_running < m_slots.value() && waiting() == 0) {
-        ++m_running;
-        return success();
+    if (m_state != gate_state::open) {
+        return refusal{fail(errc::backend_refused, "an order is in progress"), run_state::not_run, soon};
     }
-    if (waiting() >= m_queue_limit.value()) {
-        return fail(errc::queue_full, std::to_string(m_queue_limit.value()) + " requests wait");
+    return std::nullopt;
+}
+
+void work_gate::refuse(const std::vector<refused_entry>& entries) {
+    for (const refused_entry& each : entries) {
+        const auto found = m_waiting.find(each.entry.id);
+        if (found != m_waiting.end()) {
+            found->second->refused = each.why;
+            found->second->ready.notify_one();
+            m_waiting.erase(found);
+        }
     }
-    auto& queue = m_waiting[index_of(request.priority)];
-    waiter self;
-    queue.push_back(&self);
-    self.ready.wait_until(lock, m_clock() + request.deadline, [&self] { return self.granted; });
-    if (!self.granted) {
-        std::erase(queue, &self);
-        return fail(errc::deadline_exceeded, "no slot became free in time");
+}
+
+void work_gate::refuse_all_waiting() {
+    for (const auto& [id, waiting] : m_waiting) {
+        m_queue.cancel(id);
+        waiting->refused = refuse_while_closed();
+        waiting->ready.notify_one();
     }
-    return success();
+    m_waiting.clear();
 }
 
 void work_gate::grant_next() {
-    for (auto& queue : m_waiting) {
-        if (!queue.empty()) {
-            waiter* next = queue.front();
-            queue.pop_front();
-            next->granted = true;
-            ++m_running;
-            next->ready.notify_one();
-            return;
+    const time_point now = m_clock();
+    refuse(m_queue.expire(now));
+    while (const auto entry = m_queue.start_next(now)) {
+        m_inside[entry->id] = now;
+        const auto found = m_waiting.find(entry->id);
+        found->second->granted = true;
+        found->second->ready.notify_one();
+        m_waiting.erase(found);
+    }
+}
+
+boost::outcome_v2::result<queue_entry_id, refusal, boost::outcome_v2::policy::all_narrow>
+work_gate::enter(const execute_request& request, const std::function<bool()>& abandoned) {
+    std::unique_lock lock(m_mutex);
+    if (auto refused = refuse_while_closed()) {
+        return *refused;
+    }
+    const queue_entry entry = make_entry(request);
+    waiter self;
+    m_waiting[entry.id] = &self;
+    refuse(m_queue.push(entry, m_clock()));
+    grant_next();
+    while (!self.granted && !self.refused) {
+        const time_point wake = std::min(entry.deadline, m_clock() + abandoned_check);
+        self.ready.wait_until(lock, wake);
+        if (self.granted || self.refused) {
+            break;
+        }
+        refuse(m_queue.expire(m_clock()));
+        if (!self.refused && abandoned()) {
+            m_queue.cancel(entry.id);
+            m_waiting.erase(entry.id);
+            self.refused = refusal{fail(errc::caller_gone, request.id.str()), run_state::not_run, {}};
         }
     }
+    if (self.refused) {
+        m_changed.notify_all();
+        return *self.refused;
+    }
+    return entry.id;
 }
 
-void work_gate::leave(duration occupied) {
+void work_gate::leave(queue_entry_id entry, const execute_request& request, token_count tokens) {
     const std::lock_guard lock(m_mutex);
-    --m_running;
+    const time_point now = m_clock();
+    const auto inside = m_inside.find(entry);
+    const duration occupied = now - inside->second;
+    m_inside.erase(inside);
+    m_queue.finish(entry, occupied, now);
+    m_costs.learn(request, occupied, tokens);
     m_mean_service_seconds += service_time_weight * (to_seconds(occupied) - m_mean_service_seconds);
     grant_next();
-    if (m_running == 0 && waiting() == 0) {
-        m_empty.notify_all();
-    }
+    m_changed.notify_all();
 }
 
 void work_gate::drain() {
     std::unique_lock lock(m_mutex);
-    m_draining = true;
-    m_empty.wait(lock, [this] { return m_running == 0 && waiting() == 0; });
+    m_state = gate_state::draining;
+    m_changed.wait(lock, [this] { return m_inside.empty() && m_waiting.empty(); });
+}
+
+void work_gate::close_for_change(duration finish_limit) {
+    std::unique_lock lock(m_mutex);
+    if (m_state == gate_state::draining) {
+        return;
+    }
+    m_state = gate_state::closed;
+    refuse_all_waiting();
+    const auto none_inside = [this] { return m_inside.empty(); };
+    if (!m_changed.wait_for(lock, finish_limit, none_inside)) {
+        m_state = gate_state::interrupting;
+        m_changed.wait(lock, none_inside);
+    }
+}
+
+void work_gate::reopen() {
+    const std::lock_guard lock(m_mutex);
+    if (m_state != gate_state::draining) {
+        m_state = gate_state::open;
+    }
+}
+
+bool work_gate::interrupting() const {
+    const std::lock_guard lock(m_mutex);
+    return m_state == gate_state::interrupting;
 }
 
 load_report work_gate::report() const {
     const std::lock_guard lock(m_mutex);
     load_report load;
-    load.running = request_count(m_running);
-    load.waiting = request_count(waiting());
+    load.running = request_count(static_cast<std::int64_t>(m_inside.size()));
+    load.waiting = request_count(static_cast<std::int64_t>(m_waiting.size()));
     load.slots = m_slots;
     load.mean_service = std::chrono::duration_cast<milliseconds>(from_seconds(m_mean_service_seconds));
     load.measured_at = m_clock();
-    std::int64_t ahead = std::max<std::int64_t>(0, m_running + 1 - m_slots.value());
-    for (const rank r : all_ranks) {
-        ahead += static_cast<std::int64_t>(m_waiting[index_of(r)].size());
-        const double wait =
-            static_cast<double>(ahead) * m_mean_service_seconds / static_cast<double>(m_slots.value());
-        load.expected_wait[index_of(r)] = std::chrono::duration_cast<milliseconds>(from_seconds(wait));
-    }
+    load.expected_wait = m_queue.expected_wait(load.measured_at);
     return load;
 }
 
--- a/src/cli/agent_command.cpp
+++ b/src/cli/agent_command.cpp
@@ -2,6 +2,10 @@
 #include "cli/commands.hpp"
 #include "cli/process.hpp"
 #include "cli/role_commands.hpp"
+#include "wire/config_exchange.hpp"
+
+#include <parsleypitch/configuration/configuration_service.hpp>
+#include <parsleypitch/platform/http_object_store.hpp>
 
 namespace parsleypitch::cli {
 
@@ -9,13 +13,49 @@
 
 constexpr unsigned worker_threads = 4;
 
+/// The agent follows the configuration that its entry hosts name; it never watches the store itself.
+std::shared_ptr<configuration_service> make_configuration(const agent_settings& settings,
+                                                          const std::shared_ptr<work_gate>& gate) {
+    configuration_hooks hooks;
+    hooks.environment = settings.environment;
+    hooks.zone_peers = {settings.seeds.begin(), settings.seeds.end()};
+    hooks.store = http_object_store(settings.platform.objects);
+    hooks.clock = steady_clock_hook();
+    hooks.random = seeded_random_hook(random_seed());
+    hooks.should_watch = [] { return false; };
+    auto configuration = std::make_shared<configuration_service>(std::move(hooks));
+    configuration->on_adopted([gate](const adopted_snapshot& adopted) {
+        std::array<double, rank_count> floors{};
+        for (const rank r : all_ranks) {
+            floors[index_of(r)] = adopted->value.ranks[index_of(r)].floor;
+        }
+        gate->set_floors(floors);
+    });
+    return configuration;
+}
+
+/// Passes the configuration version in a heartbeat's reply to the configuration service.
+detail::heartbeat_sender::reply_hook offer_to(const std::shared_ptr<configuration_service>& configuration) {
+    return [service = configuration.get()](const endpoint& from, const v1::HeartbeatReply& reply,
+                                           duration round_trip) {
+        const config_version version(reply.config_version());
+        const auto age =
+            milliseconds(reply.config_proof_age_ms()) + std::chrono::ceil<milliseconds>(round_trip);
+        service->offer(version, age, detail::fetch_from_peer(from, [service] { return service->current(); }));
+        service->peer_answered(from, version);
+    };
+}
+
 result<void> add_agent_services(kernel& host, const agent_settings& settings) {
     const backend_hooks backend = settings.kind == member_kind::engine
                                       ? engine_backend(settings.backend)
                                       : plain_service_backend(settings.backend);
     auto gate = std::make_shared<work_gate>(settings.slots, settings.queue_limit, steady_clock_hook());
     BOOST_OUTCOME_TRY(host.add(std::make_shared<metrics_registry>()));
-    auto monitor = std::make_shared<detail::backend_monitor>(settings, backend, gate, new_incarnation());
+    const auto configuration = make_configuration(settings, gate);
+    BOOST_OUTCOME_TRY(host.add(configuration));
+    auto monitor = std::make_shared<detail::backend_monitor>(settings, backend, gate, new_incarnation(),
+                                                             offer_to(configuration));
     // Added after the server, so that it is drained first and the entry hosts know before requests are
     // refused.
     BOOST_OUTCOME_TRY(host.add(std::make_shared<detail::agent_server>(settings, backend, gate)));
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,9 +1,10 @@
 #include "entry/entry_process.hpp"
 
-#include "entry/config_exchange.hpp"
+#include "entry/claims_client.hpp"
 #include "entry/membership_service.hpp"
 #include "entry/peer_server.hpp"
 #include "entry/traffic_service.hpp"
+#include "wire/config_exchange.hpp"
 
 #include <parsleypitch/entry/front_end.hpp>
 #include <parsleypitch/metrics/metrics.hpp>
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <thread>
 
 namespace parsleypitch::detail {
 
@@ -22,6 +24,8 @@
     std::shared_ptr<configuration_service> configuration;
     std::shared_ptr<membership_service> membership;
     std::shared_ptr<traffic_service> traffic;
+    std::shared_ptr<claims_service> claims;
+    std::shared_ptr<class at_most_once> at_most_once;
     std::shared_ptr<peer_server> peers;
     std::shared_ptr<front_end> callers;
 };
@@ -57,7 +61,10 @@
 membership_hooks make_membership_hooks(const entry_settings& settings,
                                        const std::shared_ptr<entry_parts>& parts) {
     membership_hooks hooks;
-    hooks.fill_own = [parts = parts.get()](member& own) { own.config = parts->configuration->version(); };
+    hooks.fill_own = [parts = parts.get()](member& own) {
+        own.config = parts->configuration->version();
+        own.demand = parts->traffic->demand();
+    };
     hooks.config_proof_age_ms = [parts = parts.get()] { return proof_age_ms(*parts->configuration); };
     hooks.on_config_offer = [parts = parts.get()](const config_offer_from& offer) {
         configuration_service& configuration = *parts->configuration;
@@ -80,6 +87,12 @@
     hooks.fetch_config = [parts = parts.get()](const v1::FetchConfigRequest& request) {
         return answer_fetch(parts->configuration->current(), request);
     };
+    hooks.claim = [parts = parts.get()](const v1::ClaimRequest& request) {
+        return answer_claim(*parts->claims, request);
+    };
+    hooks.settle = [parts = parts.get()](const v1::SettleRequest& request) {
+        return answer_settle(*parts->claims, request);
+    };
     return hooks;
 }
 
@@ -96,6 +109,25 @@
     return health;
 }
 
+/// Waits longer after each attempt of a write, so that writers of one object come apart.
+back_off_hook store_back_off() {
+    return [random = seeded_random_hook(random_seed())](unsigned attempt) {
+        constexpr std::uint64_t first_wait_ms = 10;
+        std::this_thread::sleep_for(milliseconds(1 + random(first_wait_ms << std::min(attempt, 5U))));
+    };
+}
+
+std::shared_ptr<claims_service> make_claims(const entry_settings& settings, incarnation born,
+                                            const std::shared_ptr<entry_parts>& parts) {
+    claims_options options;
+    options.self = {settings.id, born};
+    options.store = http_object_store(settings.platform.objects);
+    options.back_off = store_back_off();
+    options.wall_clock = [] { return std::chrono::system_clock::now(); };
+    options.live_entry_hosts = [parts = parts.get()] { return live_entry_hosts(*parts->membership->view()); };
+    return std::make_shared<claims_service>(std::move(options));
+}
+
 std::function<request_id()> request_id_source(const entry_settings& settings, incarnation born) {
     auto next = std::make_shared<std::atomic<std::uint64_t>>(0);
     return [next, prefix = settings.id.str() + "-" + std::to_string(born.value()) + "-"] {
@@ -130,12 +162,13 @@
     };
     hooks.health = [parts = parts.get()] { return health_of(*parts); };
     hooks.new_request_id = request_id_source(settings, born);
-    hooks.admit = [](const caller_request&) -> result<void> { return success(); };
+    hooks.admit = [parts = parts.get()](const caller_request& request) {
+        return parts->traffic->admit(request);
+    };
+    hooks.ended = [parts = parts.get()](const caller_request& request) { parts->traffic->ended(request); };
     hooks.call = [parts = parts.get()](const caller_request& request) -> std::variant<plain_answer, refusal> {
         if (!std::get<call_work>(request.work).repeatable) {
-            return refusal{
-                fail(errc::claims_unavailable, "calls that may not be repeated are not served yet"),
-                run_state::not_run, seconds(1)};
+            return parts->at_most_once->run(request, parts->traffic->hooks());
         }
         return run_call(request, parts->traffic->hooks());
     };
@@ -156,6 +189,8 @@
     parts->membership =
         std::make_shared<membership_service>(settings, born, make_membership_hooks(settings, parts));
     parts->traffic = std::make_shared<traffic_service>(settings);
+    parts->claims = make_claims(settings, born, parts);
+    parts->at_most_once = std::make_shared<at_most_once>(host_instance{settings.id, born});
     parts->peers = std::make_shared<peer_server>(settings.peers, make_peer_hooks(parts));
     parts->callers = std::make_shared<front_end>(settings, make_front_end_hooks(settings, born, parts));
     BOOST_OUTCOME_TRY(host.add(std::make_shared<parts_holder>(parts)));
@@ -163,6 +198,8 @@
     BOOST_OUTCOME_TRY(host.add(parts->configuration));
     BOOST_OUTCOME_TRY(host.add(parts->membership));
     BOOST_OUTCOME_TRY(host.add(parts->traffic));
+    BOOST_OUTCOME_TRY(host.add(parts->claims));
+    BOOST_OUTCOME_TRY(host.add(parts->at_most_once));
     BOOST_OUTCOME_TRY(host.add(parts->peers));
     return host.add(parts->callers);
 }
--- a/src/entry/front_end.cpp
+++ b/src/entry/front_end.cpp
@@ -250,6 +250,7 @@
     caller_request request;
     request.caller = found->second->id;
     request.priority = found->second->highest_rank;
+    request.weight = found->second->weight;
     if (http.has_header("X-Rank")) {
         const auto wanted = parse_rank(http.get_header_value("X-Rank"));
         if (!wanted) {
@@ -335,10 +336,11 @@
     request_outcome outcome;
     if (!prepared) {
         outcome.refused = refusal{prepared.error(), run_state::not_run, {}};
-    } else if (const auto admitted = hooks.admit(request); !admitted) {
-        outcome.refused = refusal{admitted.error(), run_state::not_run, milliseconds(500)};
+    } else if (auto refused = hooks.admit(request)) {
+        outcome.refused = std::move(refused);
     } else {
         auto ended = hooks.call(request);
+        hooks.ended(request);
         if (const auto* answer = std::get_if<plain_answer>(&ended)) {
             response.status = static_cast<int>(answer->status);
             response.set_content(answer->body,
@@ -367,15 +369,20 @@
     std::optional<refusal> refused;
     if (!prepared) {
         refused = refusal{prepared.error(), run_state::not_run, {}};
-    } else if (const auto admitted = hooks.admit(request); !admitted) {
-        refused = refusal{admitted.error(), run_state::not_run, milliseconds(500)};
+    } else {
+        refused = hooks.admit(request);
     }
     if (refused) {
         refuse(request, response, *refused);
         finish(request, {refused, hooks.clock() - arrived, hooks.clock() - arrived, {}, {}, {}, false});
         return;
     }
-    auto run = std::make_shared<generation_run>(std::move(request), *hooks.attempts);
+    const auto end_admission = [this](generation_run* run) {
+        hooks.ended(run->request());
+        std::default_delete<generation_run>()(run);
+    };
+    const std::shared_ptr<generation_run> run(new generation_run(std::move(request), *hooks.attempts),
+                                              end_admission);
     generation_run::step first = run->next();
     if (const auto* failed = std::get_if<refusal>(&first)) {
         refuse(run->request(), response, *failed);
--- a/src/entry/membership_service.cpp
+++ b/src/entry/membership_service.cpp
@@ -1,6 +1,6 @@
 #include "entry/membership_service.hpp"
 
-#include "entry/config_exchange.hpp"
+#include "wire/config_exchange.hpp"
 #include "wire/convert.hpp"
 
 #include <glog/logging.h>
--- a/src/entry/request_path.cpp
+++ b/src/entry/request_path.cpp
@@ -66,14 +66,16 @@
     return std::nullopt;
 }
 
-std::optional<refusal> generation_run::fail_attempt(const error& why, run_state ran) {
+std::optional<refusal> generation_run::fail_attempt(const refusal& refused) {
     m_stream->cancel();
     close({});
-    m_hooks.on_failure(m_route, why);
+    m_hooks.on_failure(m_route, refused.why);
     m_excluded.insert(m_route.server);
     m_kv_source = endpoint();
-    m_ran = worse(m_ran, ran);
-    const auto wait = m_hooks.may_retry({m_request, why, ran, m_attempt});
+    m_ran = worse(m_ran, refused.ran);
+    const bool begun = m_assembler.next_index() > token_index();
+    const auto wait =
+        m_hooks.may_retry({m_request, refused.why, refused.ran, m_attempt, begun, refused.retry_after});
     if (!wait) {
         return refusal{wait.error(), m_ran, milliseconds(500)};
     }
@@ -83,18 +85,18 @@
 
 std::optional<generation_run::step> generation_run::take(const execute_event& event) {
     if (const auto origin = m_assembler.check_origin(event); !origin) {
-        return fail_attempt(origin.error(), run_state::ran);
+        return fail_attempt({origin.error(), run_state::ran, {}});
     }
     if (const auto* token = std::get_if<token_event>(&event.event)) {
         const auto verdict = m_assembler.accept(*token);
         if (!verdict) {
-            return fail_attempt(verdict.error(), run_state::ran);
+            return fail_attempt({verdict.error(), run_state::ran, {}});
         }
         m_ran = run_state::ran;
         return verdict.value() == token_verdict::deliver ? std::optional<step>(*token) : std::nullopt;
     }
     if (const auto* refused = std::get_if<refusal>(&event.event)) {
-        return fail_attempt(refused->why, refused->ran);
+        return fail_attempt(*refused);
     }
     if (const auto* end = std::get_if<generation_end>(&event.event)) {
         const auto& work = std::get<generate_work>(m_request.work);
@@ -106,12 +108,13 @@
             return std::nullopt;
         }
         if (const auto whole = m_assembler.check_end(*end); !whole) {
-            return fail_attempt(whole.error(), run_state::ran);
+            return fail_attempt({whole.error(), run_state::ran, {}});
         }
         close(event.load);
         return *end;
     }
-    return fail_attempt(fail(errc::agent_broken, "a plain answer arrived for a generation"), run_state::ran);
+    return fail_attempt(
+        {fail(errc::agent_broken, "a plain answer arrived for a generation"), run_state::ran, {}});
 }
 
 generation_run::step generation_run::next() {
@@ -123,7 +126,7 @@
         }
         const auto event = m_stream->next();
         if (!event) {
-            if (auto refused = fail_attempt(event.error(), run_state::ran)) {
+            if (auto refused = fail_attempt({event.error(), run_state::ran, {}})) {
                 return *refused;
             }
             continue;
@@ -178,7 +181,8 @@
         hooks.on_failure(chosen.value(), refused->why);
         excluded.insert(chosen.value().server);
         ran = worse(ran, refused->ran);
-        const auto wait = hooks.may_retry({request, refused->why, refused->ran, attempt});
+        const auto wait =
+            hooks.may_retry({request, refused->why, refused->ran, attempt, false, refused->retry_after});
         if (!wait) {
             return refusal{wait.error(), ran, refused->retry_after};
         }
--- a/src/entry/config_exchange.cpp
+++ b/src/wire/config_exchange.cpp
@@ -1,4 +1,4 @@
-#include "entry/config_exchange.hpp"
+#include "wire/config_exchange.hpp"
 
 #include "net/grpc_server.hpp"
 #include "parsleypitch.grpc.pb.h"
--- a/tests/unit-admission.cpp
+++ b/tests/unit-admission.cpp
@@ -104,7 +104,7 @@
     ASSERT_EQ(refused.size(), 1U);
     EXPECT_EQ(refused[0].entry.id, queue_entry_id(6));
     EXPECT_EQ(refused[0].why.why.code, errc::queue_full);
-    EXPECT_EQ(refused[0].why.state, run_state::not_run);
+    EXPECT_EQ(refused[0].why.ran, run_state::not_run);
     const auto own = push(rank::bulk);
     ASSERT_EQ(own.size(), 1U);
     EXPECT_EQ(own[0].entry.id, queue_entry_id(8));
@@ -122,7 +122,7 @@
     const auto refused = m_queue.push(late, m_now);
     ASSERT_EQ(refused.size(), 1U);
     EXPECT_EQ(refused[0].why.why.code, errc::deadline_unreachable);
-    EXPECT_EQ(refused[0].why.state, run_state::not_run);
+    EXPECT_EQ(refused[0].why.ran, run_state::not_run);
     EXPECT_GT(refused[0].why.retry_after, milliseconds(0));
 }
 
@@ -277,7 +277,7 @@
     const auto refused = m_control.check(request("a", seconds(2)), m_load, duration(0), m_now);
     ASSERT_TRUE(refused);
     EXPECT_EQ(refused->why.code, errc::deadline_unreachable);
-    EXPECT_EQ(refused->state, run_state::not_run);
+    EXPECT_EQ(refused->ran, run_state::not_run);
     EXPECT_EQ(refused->retry_after, milliseconds(1000));
     EXPECT_FALSE(m_control.check(request("a", seconds(4)), m_load, duration(0), m_now));
     // 16 s of own work on 8 slots adds 2 s.
