Serve fences and orders in the agent

The order service empties the work gate before a change and reopens it afterwards. Fencing numbers travel in heartbeats; an agent takes them from entry hosts of its own zone only, since each zone numbers its terms.

--- a/include/parsleypitch/orders/order_service.hpp
+++ b/include/parsleypitch/orders/order_service.hpp
@@ -46,18 +46,22 @@
 /// `fence` and `order` block and are called on traffic threads.
 class order_service final : public service, public std::enable_shared_from_this<order_service> {
   public:
+    /// The gate opens a second after `start`, which follows the binding of the agent's address.
     explicit order_service(order_hooks hooks, order_limits limits = {});
 
     [[nodiscard]] service_name name() const override { return service_name("orders"); }
     [[nodiscard]] result<void> start(kernel& host) override;
+    /// @brief Refuses orders from now on and waits for one in progress.
+    void drain() override;
 
     /// @brief Gives authority over the engine to a term; waits for an order in progress.
     /// @return the state read back, `agent_not_ready`, `fencing_number_stale` or `backend_unreachable`
     [[nodiscard]] result<engine_state> fence(fencing_number number);
 
     /// @brief Carries out an order and verifies it by read-back.
-    /// @return the state read back; a refusal of `order_gate`; `order_failed` if the engine settled in
-    /// another state; `order_unsettled` if it stopped answering or still changes after the limit
+    /// @return the state read back; a refusal of `order_gate`; `backend_leaving`; `order_failed` if the
+    /// engine settled in another state; `order_unsettled` if it stopped answering or still changes after the
+    /// limit
     [[nodiscard]] result<engine_state> order(const engine_order& wanted);
 
     /// @brief Takes a fencing number from the heartbeat reply of an entry host of the same zone.
@@ -69,6 +73,7 @@
 
   private:
     [[nodiscard]] result<backend_status> read_back();
+    [[nodiscard]] result<void> check_before_write(fencing_number number) const;
     [[nodiscard]] result<engine_state> carry_out(const engine_order& wanted);
     void end_order(const std::string& order_id, const result<engine_state>& done);
     [[nodiscard]] result<engine_state> verify(const engine_state& target, time_point sent_at);
@@ -81,6 +86,7 @@
     std::condition_variable m_idle;
     order_gate m_gate;
     bool m_preparing = false;
+    bool m_draining = false;
 };
 
 /// @brief Whether an engine has the role, model, version and adapters of `target`, in any order of adapters.
--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -1,4 +1,5 @@
 #include "agent/agent_services.hpp"
+#include "agent/order_calls.hpp"
 #include "wire/convert.hpp"
 
 #include <glog/logging.h>
@@ -24,6 +25,9 @@
     const auto threads = m_settings.slots.value() + m_settings.queue_limit.value() + spare_threads;
     m_monitor = std::move(monitor);
     m_metrics = std::move(metrics);
+    if (auto orders = host.find<order_service>(service_name("orders"))) {
+        m_orders = std::move(orders.value());
+    }
     BOOST_OUTCOME_TRY(server, net::start_grpc_server(m_settings.listen, *this, static_cast<int>(threads)));
     m_server = std::move(server);
     return success();
@@ -52,6 +56,18 @@
     return grpc::Status::OK;
 }
 
+grpc::Status agent_server::Fence(grpc::ServerContext*, const v1::FenceRequest* request,
+                                 v1::FenceReply* reply) {
+    *reply = answer_fence(m_orders.get(), *request);
+    return grpc::Status::OK;
+}
+
+grpc::Status agent_server::Order(grpc::ServerContext*, const v1::OrderRequest* request,
+                                 v1::OrderReply* reply) {
+    *reply = answer_order(m_orders.get(), *request);
+    return grpc::Status::OK;
+}
+
 void agent_server::run(const execute_request& request, const event_sink& emit,
                        const std::function<bool()>& abandoned) {
     const auto snapshot = m_monitor->snapshot();
--- a/src/agent/agent_services.hpp
+++ b/src/agent/agent_services.hpp
@@ -9,6 +9,7 @@
 #include <parsleypitch/kernel/kernel.hpp>
 #include <parsleypitch/membership/table.hpp>
 #include <parsleypitch/metrics/metrics.hpp>
+#include <parsleypitch/orders/order_service.hpp>
 #include <parsleypitch/settings/settings.hpp>
 
 #include <atomic>
@@ -52,6 +53,8 @@
     incarnation m_born;
     heartbeat_sender::reply_hook m_on_reply;
     kernel* m_kernel = nullptr;
+    /// Null if the backend server is no engine.
+    std::shared_ptr<order_service> m_orders;
     entry_directory m_directory;
     std::unique_ptr<heartbeat_sender> m_sender;
     std::atomic<std::shared_ptr<const backend_snapshot>> m_snapshot;
@@ -72,6 +75,10 @@
   private:
     grpc::Status Execute(grpc::ServerContext* context, const v1::ExecuteRequest* request,
                          grpc::ServerWriter<v1::ExecuteEvent>* writer) override;
+    grpc::Status Fence(grpc::ServerContext* context, const v1::FenceRequest* request,
+                       v1::FenceReply* reply) override;
+    grpc::Status Order(grpc::ServerContext* context, const v1::OrderRequest* request,
+                       v1::OrderReply* reply) override;
     void run(const execute_request& request, const event_sink& emit, const std::function<bool()>& abandoned);
     void run_inside(const execute_request& request, const event_sink& emit, queue_entry_id entry);
     void refuse(const execute_request& request, const event_sink& emit, const refusal& refused);
@@ -81,6 +88,8 @@
     std::shared_ptr<work_gate> m_gate;
     std::shared_ptr<backend_monitor> m_monitor;
     std::shared_ptr<metrics_registry> m_metrics;
+    /// Null if the backend server is no engine.
+    std::shared_ptr<order_service> m_orders;
     std::unique_ptr<grpc::Server> m_server;
 };
 
--- a/src/agent/backend_monitor.cpp
+++ b/src/agent/backend_monitor.cpp
@@ -25,6 +25,9 @@
 
 result<void> backend_monitor::start(kernel& host) {
     m_kernel = &host;
+    if (auto orders = host.find<order_service>(service_name("orders"))) {
+        m_orders = std::move(orders.value());
+    }
     m_sender = std::make_unique<heartbeat_sender>(
         host,
         [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
@@ -33,6 +36,10 @@
                 m_directory.learn(
                     {entry_host_id(each.id()), availability_zone_id(each.zone()), endpoint(each.address())},
                     now);
+                // Terms of other zones are numbered on their own and mean nothing here.
+                if (m_orders && endpoint(each.address()) == from && each.zone() == m_settings.zone.str()) {
+                    m_orders->learn_from_peer(fencing_number(reply.highest_fencing_number()));
+                }
             }
             m_directory.answered(from, now);
             m_on_reply(from, reply, round_trip);
@@ -98,6 +105,7 @@
     record.load = load();
     record.engine = snapshot->status.engine;
     record.plain_service = m_settings.plain_service;
+    record.highest_fencing = m_orders ? m_orders->highest() : fencing_number(0);
     return record;
 }
 
--- a/src/cli/agent_command.cpp
+++ b/src/cli/agent_command.cpp
@@ -1,4 +1,5 @@
 #include "agent/agent_services.hpp"
+#include "agent/order_calls.hpp"
 #include "cli/commands.hpp"
 #include "cli/process.hpp"
 #include "cli/role_commands.hpp"
@@ -59,6 +60,11 @@
     // Added after the server, so that it is drained first and the entry hosts know before requests are
     // refused.
     BOOST_OUTCOME_TRY(host.add(std::make_shared<detail::agent_server>(settings, backend, gate)));
+    // Started after the server has bound its address, which proves that no predecessor is alive.
+    if (settings.kind == member_kind::engine) {
+        BOOST_OUTCOME_TRY(host.add(
+            std::make_shared<order_service>(detail::make_order_hooks(settings, backend, gate, monitor))));
+    }
     return host.add(monitor);
 }
 
--- a/src/orders/order_service.cpp
+++ b/src/orders/order_service.cpp
@@ -29,6 +29,10 @@
 
 result<void> order_service::start(kernel& host) {
     m_kernel = &host;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_gate = order_gate(m_hooks.clock());
+    }
     host.every(detail::prepare_period, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->prepare_on_worker();
@@ -37,6 +41,12 @@
     return success();
 }
 
+void order_service::drain() {
+    std::unique_lock lock(m_mutex);
+    m_draining = true;
+    m_idle.wait(lock, [this] { return !m_gate.order_in_progress(); });
+}
+
 void order_service::prepare_on_worker() {
     {
         const std::lock_guard lock(m_mutex);
@@ -131,6 +141,16 @@
     m_idle.notify_all();
 }
 
+result<void> order_service::check_before_write(fencing_number number) const {
+    const std::lock_guard lock(m_mutex);
+    // A work gate that drains for the end of the process may still have requests inside.
+    if (m_draining) {
+        return fail(errc::backend_leaving, "the agent is draining");
+    }
+    // Emptying the engine takes seconds, in which a successor may have fenced it.
+    return m_gate.check(number);
+}
+
 result<engine_state> order_service::carry_out(const engine_order& wanted) {
     BOOST_OUTCOME_TRY(before, read_back());
     if (before.engine.changing) {
@@ -139,11 +159,7 @@
     if (reached(before.engine, wanted.target)) {
         return before.engine;
     }
-    {
-        // The drain takes seconds, in which a successor may have fenced this engine.
-        const std::lock_guard lock(m_mutex);
-        BOOST_OUTCOME_TRY(m_gate.check(wanted.fencing));
-    }
+    BOOST_OUTCOME_TRY(check_before_write(wanted.fencing));
     const auto written = m_hooks.write(wanted);
     const time_point sent_at = m_hooks.clock();
     if (!written && written.error().code != errc::backend_unreachable) {
--- a/tests/unit-orders.cpp
+++ b/tests/unit-orders.cpp
@@ -238,6 +238,20 @@
     EXPECT_EQ(agent->fence(second_term).value(), state_of(engine_role::mixed));
 }
 
+// Guards against a change under running requests: a draining work gate doesn't wait for them.
+TEST_F(order_service_fixture, order_whose_agent_starts_to_drain_is_not_written) {
+    const auto agent = start_ready_agent();
+    ASSERT_TRUE(agent->fence(first_term));
+    std::future<void> drained;
+    m_while_draining = [&] {
+        drained = std::async(std::launch::async, [&] { agent->drain(); });
+        EXPECT_EQ(drained.wait_for(milliseconds(50)), std::future_status::timeout);
+    };
+    EXPECT_EQ(agent->order(order_of(first_term, "1-1", engine_role::decode)).error().code,
+              errc::backend_leaving);
+    EXPECT_EQ(m_engine.writes, 0U);
+}
+
 // Guards against a second order that starts while the first one drains.
 TEST_F(order_service_fixture, order_during_another_is_refused) {
     const auto agent = start_ready_agent();
