--- /dev/null
+++ b/include/parsleypitch/planner/demand_forecast.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <parsleypitch/core/units.hpp>
+#include <parsleypitch/planner/role_split.hpp>
+
+#include <optional>
+
+namespace parsleypitch {
+
+/// @brief Time constants of the averages of demand.
+struct forecast_policy {
+    duration fast{seconds(8)};
+    duration slow{seconds(40)};
+    /// @brief Share of the difference between fast and slow average by which demand is expected to move on.
+    double trend = 0.5;
+};
+
+/// @brief Fast and slow averages of the demand for one model.
+class demand_forecast {
+  public:
+    explicit demand_forecast(forecast_policy policy) : m_policy(policy) {}
+
+    /// @brief Takes the demand measured since the last call.
+    void observe(const token_demand& seen, time_point now);
+
+    [[nodiscard]] const token_demand& fast() const { return m_fast; }
+    [[nodiscard]] const token_demand& slow() const { return m_slow; }
+    /// @brief The demand expected within the horizon of a plan.
+    [[nodiscard]] token_demand expected() const;
+    /// @brief Time over which demand was observed.
+    [[nodiscard]] duration observed() const;
+
+  private:
+    [[nodiscard]] double weight(duration elapsed, duration constant) const;
+
+    forecast_policy m_policy;
+    token_demand m_fast;
+    token_demand m_slow;
+    std::optional<time_point> m_first;
+    time_point m_last;
+};
+
+} // namespace parsleypitch
