Run the planner in the holder of a zone's lease

The service checks the term before every call to an agent, fences each agent once per term and repeats an order with the same id after a lost answer.

--- a/include/parsleypitch/lease/authority_service.hpp
+++ b/include/parsleypitch/lease/authority_service.hpp
@@ -42,6 +42,8 @@
     /// @brief The fencing number of the valid term; to be called on the control thread only.
     /// @return `lease_not_held` if this process may not act under the lease
     [[nodiscard]] result<fencing_number> current(time_point now) const;
+    /// @brief Greatest term seen; to be called on the control thread only.
+    [[nodiscard]] fencing_number highest_seen() const { return m_state.highest_seen(); }
 
   private:
     void check();
--- a/include/parsleypitch/lease/lease_state.hpp
+++ b/include/parsleypitch/lease/lease_state.hpp
@@ -74,6 +74,9 @@
     /// @brief Whether this process may act under the lease.
     [[nodiscard]] bool valid(time_point now) const;
 
+    /// @brief Greatest term seen in the store or held; 0 if none was.
+    [[nodiscard]] fencing_number highest_seen() const;
+
     /// @brief The fencing number of the valid term.
     /// @return `lease_not_held` if there is none
     [[nodiscard]] result<fencing_number> current(time_point now) const;
--- /dev/null
+++ b/include/parsleypitch/planner/planner_service.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <parsleypitch/agent/backend.hpp>
+#include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/environment/environment.hpp>
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/metrics/metrics.hpp>
+#include <parsleypitch/planner/role_planner.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace parsleypitch {
+
+/// @brief Hooks of `planner_service`.
+struct planner_hooks {
+    availability_zone_id zone;
+    clock_hook clock;
+    /// @brief Number of the valid term of the zone's lease; called on the control thread.
+    std::function<result<fencing_number>(time_point)> term;
+    std::function<std::shared_ptr<const fleet_view>()> view;
+    /// @brief The configuration in force; null unless this process is proven current.
+    std::function<std::shared_ptr<const environment>()> proven_environment;
+    /// @brief Fences an agent; blocks, called on a worker thread.
+    std::function<result<engine_state>(const endpoint& agent, fencing_number)> fence;
+    /// @brief Sends an order and waits for its result; blocks, called on a worker thread.
+    std::function<result<engine_state>(const endpoint& agent, const engine_order&)> order;
+    /// @brief Ends calls that block, so that the process can stop.
+    std::function<void()> cancel_calls = [] {};
+};
+
+/// @brief Periods and limits of `planner_service`.
+struct planner_limits {
+    milliseconds plan_period{1000};
+    milliseconds retry_pause{500};
+    /// @brief Time over which an order is repeated with the same id; longer than an agent's order takes.
+    milliseconds retry_limit{90'000};
+    /// @brief Orders under way at the same time; each occupies a worker thread.
+    std::size_t orders_at_once = 2;
+};
+
+/// @brief What the planner last decided, for the status command.
+struct planner_status {
+    /// @brief Nothing if this process does not hold the lease of its zone.
+    std::optional<fencing_number> term;
+    /// @brief Why no plan was made.
+    std::optional<error> no_plan;
+    role_plan plan;
+    std::vector<planned_order> in_progress;
+    time_point made_at;
+};
+
+/// @brief Builds the planner's input from the fleet view of one zone.
+[[nodiscard]] planner_input make_planner_input(const fleet_view& view, const environment& wanted,
+                                               const availability_zone_id& zone);
+
+/// @brief Runs the role planner while this process holds the lease of its zone; kernel service "planner".
+class planner_service final : public service, public std::enable_shared_from_this<planner_service> {
+  public:
+    explicit planner_service(planner_hooks hooks, planner_policy policy = {}, planner_limits limits = {});
+
+    [[nodiscard]] service_name name() const override { return service_name("planner"); }
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void drain() override;
+    void stop() override;
+
+    /// @brief The last decision; safe for all threads.
+    [[nodiscard]] std::shared_ptr<const planner_status> status() const { return m_status.load(); }
+
+  private:
+    /// An order on its way to an agent.
+    struct job {
+        planned_order order;
+        std::string order_id;
+        fencing_number term;
+        endpoint agent;
+        incarnation agent_born;
+        bool fenced = false;
+    };
+    struct fenced_agent {
+        endpoint agent;
+        incarnation born;
+        friend auto operator<=>(const fenced_agent&, const fenced_agent&) = default;
+    };
+
+    void make_plan();
+    void begin_term(fencing_number term);
+    void publish(planner_status status);
+    void start_order(const planned_order& order, const fleet_view& view);
+    void finish_order(const job& done, const result<engine_state>& outcome);
+    [[nodiscard]] result<engine_state> carry_out(job& work);
+    [[nodiscard]] result<engine_state> attempt(job& work);
+    [[nodiscard]] result<void> check_term(fencing_number term);
+    [[nodiscard]] bool pause();
+
+    const planner_hooks m_hooks;
+    const planner_policy m_policy;
+    const planner_limits m_limits;
+    kernel* m_kernel = nullptr;
+    std::shared_ptr<metrics_registry> m_metrics;
+    std::atomic<std::shared_ptr<const planner_status>> m_status;
+
+    std::optional<fencing_number> m_term;
+    role_planner m_planner;
+    std::set<fenced_agent> m_fenced;
+    std::vector<planned_order> m_in_progress;
+    std::uint64_t m_order_sequence = 0;
+
+    std::mutex m_mutex;
+    std::condition_variable m_woken;
+    bool m_stopping = false;
+};
+
+} // namespace parsleypitch
--- a/include/parsleypitch/planner/role_planner.hpp
+++ b/include/parsleypitch/planner/role_planner.hpp
@@ -35,7 +35,7 @@
     duration report_freshness{seconds(3)};
     /// @brief Members that are silent for longer are counted out instead of awaited.
     duration silence_limit{seconds(10)};
-    /// @brief Time for which a model's engines are left alone after a change of role or a failed order.
+    /// @brief Time for which a model's engines are left alone after a series of changes or a failed order.
     duration quiet_time{seconds(10)};
     /// @brief Time over which demand must have been observed before the first change.
     duration warm_up{seconds(10)};
--- a/include/parsleypitch/settings/settings.hpp
+++ b/include/parsleypitch/settings/settings.hpp
@@ -29,6 +29,8 @@
     /// @brief Threads for callers; each open stream occupies one.
     unsigned caller_threads = 1024;
     byte_count max_body{1'000'000};
+    /// @brief Whether this host may hold the lease of its zone and plan changes of engines.
+    bool planner = true;
     /// @brief Log severity, 0 is all.
     int log_level = 0;
 };
--- /dev/null
+++ b/src/entry/authority_parts.cpp
@@ -0,0 +1,70 @@
+#include "entry/authority_parts.hpp"
+
+#include "entry/order_client.hpp"
+
+#include <parsleypitch/lease/lease_object.hpp>
+#include <parsleypitch/platform/http_object_store.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace parsleypitch::detail {
+
+namespace {
+
+// A renewal has 3 s before the term ends; four attempts with these pauses leave time for slow calls.
+constexpr milliseconds write_pause{100};
+
+} // namespace
+
+std::shared_ptr<authority_service> make_authority(const entry_settings& settings, incarnation born,
+                                                  const authority_sources& sources) {
+    authority_options options;
+    options.store = http_object_store(settings.platform.objects);
+    options.key = lease_key(settings.zone);
+    options.self = {settings.id, born};
+    options.clock = steady_clock_hook();
+    options.back_off = [](unsigned attempt) { std::this_thread::sleep_for(attempt * write_pause); };
+    options.is_candidate = [wanted = settings.planner, membership = &sources.membership] {
+        return wanted && membership->is_relay();
+    };
+    return std::make_shared<authority_service>(std::move(options));
+}
+
+std::shared_ptr<planner_service> make_planner(const entry_settings& settings,
+                                              const std::shared_ptr<authority_service>& authority,
+                                              const authority_sources& sources) {
+    const auto client = std::make_shared<order_client>();
+    planner_hooks hooks;
+    hooks.zone = settings.zone;
+    hooks.clock = steady_clock_hook();
+    hooks.term = [authority](time_point now) { return authority->current(now); };
+    hooks.view = [membership = &sources.membership] { return membership->view(); };
+    hooks.proven_environment = [configuration =
+                                    &sources.configuration]() -> std::shared_ptr<const environment> {
+        const adopted_snapshot adopted = configuration->current();
+        const bool proven = adopted && configuration->proven(std::chrono::steady_clock::now());
+        return proven ? std::shared_ptr<const environment>(adopted, &adopted->value) : nullptr;
+    };
+    hooks.fence = [client](const endpoint& agent, fencing_number number) {
+        return client->fence(agent, number);
+    };
+    hooks.order = [client](const endpoint& agent, const engine_order& order) {
+        return client->order(agent, order);
+    };
+    hooks.cancel_calls = [client] { client->cancel(); };
+    return std::make_shared<planner_service>(std::move(hooks));
+}
+
+fencing_number highest_fencing(const entry_settings& settings, const authority_service& authority,
+                               const fleet_view& view) {
+    fencing_number highest = authority.highest_seen();
+    for (const member& each : view.members) {
+        if (each.zone == settings.zone) {
+            highest = std::max(highest, each.highest_fencing);
+        }
+    }
+    return highest;
+}
+
+} // namespace parsleypitch::detail
--- /dev/null
+++ b/src/entry/authority_parts.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "entry/membership_service.hpp"
+
+#include <parsleypitch/configuration/configuration_service.hpp>
+#include <parsleypitch/lease/authority_service.hpp>
+#include <parsleypitch/planner/planner_service.hpp>
+
+namespace parsleypitch::detail {
+
+/// @brief Services of an entry host that these hooks refer to; they must outlive the hooks' use.
+struct authority_sources {
+    membership_service& membership;
+    configuration_service& configuration;
+};
+
+/// @brief The candidate for the lease of the zone; a host without planner never seeks it.
+[[nodiscard]] std::shared_ptr<authority_service>
+make_authority(const entry_settings& settings, incarnation born, const authority_sources& sources);
+
+/// @brief The planner of the zone, which acts while `authority` holds the lease.
+[[nodiscard]] std::shared_ptr<planner_service>
+make_planner(const entry_settings& settings, const std::shared_ptr<authority_service>& authority,
+             const authority_sources& sources);
+
+/// @brief Highest fencing number of the zone that this host knows; control thread only.
+[[nodiscard]] fencing_number highest_fencing(const entry_settings& settings,
+                                             const authority_service& authority, const fleet_view& view);
+
+} // namespace parsleypitch::detail
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_process.hpp"
 
+#include "entry/authority_parts.hpp"
 #include "entry/claims_client.hpp"
 #include "entry/membership_service.hpp"
 #include "entry/peer_server.hpp"
@@ -28,6 +29,7 @@
     std::shared_ptr<class at_most_once> at_most_once;
     std::shared_ptr<peer_server> peers;
     std::shared_ptr<front_end> callers;
+    std::shared_ptr<authority_service> authority;
 };
 
 /// Keeps the struct through which hooks refer to services for as long as the kernel keeps the services.
@@ -61,7 +63,8 @@
 membership_hooks make_membership_hooks(const entry_settings& settings,
                                        const std::shared_ptr<entry_parts>& parts) {
     membership_hooks hooks;
-    hooks.fill_own = [parts = parts.get()](member& own) {
+    hooks.fill_own = [parts = parts.get(), settings](member& own) {
+        own.highest_fencing = highest_fencing(settings, *parts->authority, *parts->membership->view());
         own.config = parts->configuration->version();
         own.demand = parts->traffic->demand();
     };
@@ -192,6 +195,8 @@
     parts->claims = make_claims(settings, born, parts);
     parts->at_most_once = std::make_shared<at_most_once>(host_instance{settings.id, born});
     parts->peers = std::make_shared<peer_server>(settings.peers, make_peer_hooks(parts));
+    const authority_sources sources{*parts->membership, *parts->configuration};
+    parts->authority = make_authority(settings, born, sources);
     parts->callers = std::make_shared<front_end>(settings, make_front_end_hooks(settings, born, parts));
     BOOST_OUTCOME_TRY(host.add(std::make_shared<parts_holder>(parts)));
     BOOST_OUTCOME_TRY(host.add(parts->metrics));
@@ -200,6 +205,8 @@
     BOOST_OUTCOME_TRY(host.add(parts->traffic));
     BOOST_OUTCOME_TRY(host.add(parts->claims));
     BOOST_OUTCOME_TRY(host.add(parts->at_most_once));
+    BOOST_OUTCOME_TRY(host.add(parts->authority));
+    BOOST_OUTCOME_TRY(host.add(make_planner(settings, parts->authority, sources)));
     BOOST_OUTCOME_TRY(host.add(parts->peers));
     return host.add(parts->callers);
 }
--- a/src/lease/lease_state.cpp
+++ b/src/lease/lease_state.cpp
@@ -1,5 +1,7 @@
 #include <parsleypitch/lease/lease_state.hpp>
 
+#include <algorithm>
+
 namespace parsleypitch {
 
 void lease_state::observe(const stored_lease& seen, time_point read_at) {
@@ -43,6 +45,10 @@
     return m_term && now - m_sent_at < lease_duration - lease_margin;
 }
 
+fencing_number lease_state::highest_seen() const {
+    return std::max(m_seen ? m_seen->value.term : fencing_number(), m_term.value_or(fencing_number()));
+}
+
 result<fencing_number> lease_state::current(time_point now) const {
     if (!valid(now)) {
         return fail(errc::lease_not_held, m_self.id.str());
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -71,6 +71,7 @@
         static_cast<unsigned>(reader.integer_or("caller_threads", settings.caller_threads, 1, max_threads));
     settings.max_body =
         byte_count(reader.integer_or("max_body_bytes", settings.max_body.value(), 1, max_body_limit));
+    settings.planner = reader.flag_or("planner", settings.planner);
     settings.log_level =
         static_cast<int>(reader.integer_or("log_level", settings.log_level, 0, max_log_level));
     reader.finish();
