--- a/include/parsleypitch/claims/claim_log.hpp
+++ b/include/parsleypitch/claims/claim_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleypitch/claims/claims.hpp>
+#include <parsleypitch/core/hooks.hpp>
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/platform/conditional_writer.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace parsleypitch {
 
-using wall_time = std::chrono::system_clock::time_point;
-using wall_clock_hook = std::function<wall_time()>;
-
 /// @brief Time for which a settled key is kept.
 inline constexpr std::chrono::hours claim_retention{24};
 /// @brief Greatest size of one segment of a partition's log.
--- a/include/parsleypitch/core/hooks.hpp
+++ b/include/parsleypitch/core/hooks.hpp
@@ -10,6 +10,10 @@
 /// @brief Reads the monotonic clock; tests replace it by a manual clock.
 using clock_hook = std::function<time_point()>;
 
+/// @brief Time of day; it may jump, so it only dates records and never orders events of two processes.
+using wall_time = std::chrono::system_clock::time_point;
+using wall_clock_hook = std::function<wall_time()>;
+
 /// @brief Draws a number that is uniform in [0, bound); `bound` is greater than 0.
 using random_hook = std::function<std::uint64_t(std::uint64_t bound)>;
 
--- /dev/null
+++ b/src/journal/request_traces.cpp
@@ -0,0 +1,86 @@
+#include <parsleypitch/journal/request_traces.hpp>
+
+namespace parsleypitch {
+
+request_trace& request_traces::trace_of(const request_id& id, const cell_key& cell, time_point now,
+                                        wall_time seen_at) {
+    const auto [place, added] = m_traces.try_emplace(id);
+    if (added) {
+        place->second.id = id;
+        place->second.cell = cell;
+        place->second.opened = now;
+        place->second.seen_at = seen_at;
+        m_order.push_back(id);
+        if (m_order.size() > m_limit) {
+            m_traces.erase(m_order.front());
+            m_order.pop_front();
+        }
+    }
+    return m_traces.at(id);
+}
+
+void request_traces::begin_attempt(const request_id& id, const cell_key& cell,
+                                   const backend_server_id& server, const std::string& why, time_point now,
+                                   wall_time seen_at) {
+    const std::lock_guard lock(m_mutex);
+    request_trace& trace = trace_of(id, cell, now, seen_at);
+    ++trace.attempt_total;
+    if (trace.attempts.size() < traced_attempts) {
+        attempt_trace attempt;
+        attempt.server = server;
+        attempt.why = why.substr(0, traced_text);
+        attempt.began = now - trace.opened;
+        trace.attempts.push_back(std::move(attempt));
+    }
+}
+
+void request_traces::end_attempt(const request_id& id, time_point now) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_traces.find(id);
+    if (found == m_traces.end() || found->second.attempts.empty()) {
+        return;
+    }
+    attempt_trace& latest = found->second.attempts.back();
+    if (!latest.took && found->second.attempt_total == found->second.attempts.size()) {
+        latest.took = now - found->second.opened - latest.began;
+    }
+}
+
+void request_traces::fail_attempt(const request_id& id, const error& why,
+                                  std::optional<duration> retry_after) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_traces.find(id);
+    if (found == m_traces.end() || found->second.attempts.empty() ||
+        found->second.attempt_total > found->second.attempts.size()) {
+        return;
+    }
+    attempt_trace& latest = found->second.attempts.back();
+    latest.failed = reason_id(reason_name(why.code));
+    latest.detail = to_string(why).substr(0, traced_text);
+    latest.retried = retry_after.has_value();
+    latest.back_off = retry_after.value_or(duration(0));
+}
+
+std::uint64_t request_traces::end(const request_end& end, duration total, const std::string& refusal,
+                                  time_point now, wall_time seen_at) {
+    const std::lock_guard lock(m_mutex);
+    request_trace& trace = trace_of(end.id, end.cell, now, seen_at);
+    trace.end = end;
+    trace.end->attempts = trace.attempt_total;
+    trace.total = total;
+    trace.refusal = refusal.substr(0, traced_text);
+    return trace.attempt_total;
+}
+
+std::optional<request_trace> request_traces::find(const request_id& id) const {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_traces.find(id);
+    return found == m_traces.end() ? std::nullopt : std::optional<request_trace>(found->second);
+}
+
+std::optional<wall_time> request_traces::oldest() const {
+    const std::lock_guard lock(m_mutex);
+    return m_order.empty() ? std::nullopt : std::optional<wall_time>(m_traces.at(m_order.front()).seen_at);
+}
+
+} // namespace parsleypitch
