Reload a claim partition before answering that an outcome is unknown

Cause: an owner that held a key as unknown in memory answered from there, although the late settlement of its paused runner had been recorded at another owner (cell claim_answer/paused). Change: a group with a reply of unknown reloads the partition once, as one that waits already did. Conclusion: the repeated call gets the recorded answer; the cost is one read for each repeat of an unknown key.

--- a/src/claims/partition_committer.cpp
+++ b/src/claims/partition_committer.cpp
@@ -18,9 +18,11 @@
     return bytes.size() <= static_cast<std::size_t>(max_claim_segment.value());
 }
 
-bool any_waiting(const std::vector<claim_commit_result>& results) {
-    return std::any_of(results.begin(), results.end(),
-                       [](const claim_commit_result& each) { return each.decision.waiting; });
+/// A running call may have been settled at another owner, and so may one whose runner was taken for gone.
+bool any_without_answer(const std::vector<claim_commit_result>& results) {
+    return std::any_of(results.begin(), results.end(), [](const claim_commit_result& each) {
+        return each.decision.waiting || each.decision.reply.outcome == claim_outcome::unknown;
+    });
 }
 
 } // namespace detail
@@ -86,7 +88,7 @@
         }
         if (!next.value().log.changed()) {
             // Another host may have recorded the answer while it owned this partition.
-            if (detail::any_waiting(next.value().results) && !reloaded && load()) {
+            if (detail::any_without_answer(next.value().results) && !reloaded && load()) {
                 reloaded = true;
                 continue;
             }
