--- a/include/parsleypitch/configuration/config_adoption.hpp
+++ b/include/parsleypitch/configuration/config_adoption.hpp
@@ -43,6 +43,8 @@
     [[nodiscard]] config_version at_hand() const noexcept { return m_at_hand; }
     /// @brief The version in force; 0 before the process may serve. It never decreases.
     [[nodiscard]] config_version in_force() const noexcept;
+    /// @brief A fresh process reads the store itself, because its peers may all be fresh too.
+    [[nodiscard]] bool is_fresh() const noexcept { return !m_serves; }
     /// @brief The newest time before which no accepted version is missing here; nothing if never proven.
     [[nodiscard]] std::optional<time_point> proven_at() const;
     [[nodiscard]] bool proven(time_point now) const;
--- a/src/configuration/configuration_service.cpp
+++ b/src/configuration/configuration_service.cpp
@@ -81,7 +81,7 @@
 }
 
 void configuration_service::ask_whether_to_watch() {
-    const bool watches = m_hooks.should_watch();
+    const bool watches = m_hooks.should_watch() || m_adoption.is_fresh();
     if (watches != m_watches) {
         LOG(INFO) << "configuration: " << (watches ? "watches the store" : "follows its peers");
         m_watches = watches;
--- a/tests/unit-configuration-service.cpp
+++ b/tests/unit-configuration-service.cpp
@@ -119,6 +119,15 @@
     EXPECT_TRUE(m_service->proven(now()));
 }
 
+// Guards against a zone that starts anew, in which followers wait for peers that wait for them.
+TEST_F(configuration_service_fixture, fresh_follower_takes_the_version_from_the_store) {
+    const config_store store(
+        m_objects.hooks(), environment_name("trial"), [] { return write_id("w"); }, [](unsigned) {});
+    ASSERT_TRUE(store.accept(document(), {}));
+    ASSERT_TRUE(m_kernel.start());
+    await_adoption();
+}
+
 // Guards against a restart with the store down that serves the old version of one stale peer.
 TEST_F(configuration_service_fixture,
        restart_with_store_down_and_one_stale_peer_waits_for_half_of_the_peers) {
