--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CPP_FILES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 TIDY_FILES = $(filter %.cpp,$(CPP_FILES))
 
-.PHONY: deps build test run bench asan tsan format format-check lint proto
+.PHONY: deps build test run bench asan tsan format format-check lint proto fault-matrix mutations
 
 deps:
 	.ci/install
@@ -49,3 +49,12 @@
 proto: deps
 	protoc -I proto --cpp_out=generated --grpc_out=generated \
 	  --plugin=protoc-gen-grpc=$(shell command -v grpc_cpp_plugin) proto/parsleypitch.proto
+
+# Rewrites docs/fault-matrix.md from the table in tests/fault_matrix.hpp.
+fault-matrix: build
+	PARSLEYPITCH_WRITE_FAULT_MATRIX=1 $(BUILD)/parsleypitch_tests --gtest_brief=1 \
+	  --gtest_filter='fault_table_fixture.committed_page_is_the_generated_one'
+
+# Breaks one guard after the other in a scratch copy and expects red cells in the matrix.
+mutations:
+	tests/mutation_check.sh
--- /dev/null
+++ b/tests/fault_lease.cpp
@@ -0,0 +1,270 @@
+#include "fault_lease.hpp"
+
+#include "lease/lease_codec.hpp"
+
+namespace parsleypitch::fault_matrix {
+
+namespace {
+
+const object_key lease_object("lease/authority");
+constexpr milliseconds lease_step{100};
+
+result<write_history> history_of(const std::string& bytes) {
+    auto value = detail::decode_lease(bytes);
+    if (!value) {
+        return value.error();
+    }
+    return std::move(value.value().writes);
+}
+
+} // namespace
+
+lease_scenario::lease_scenario(duration clock_difference)
+    : m_candidates{
+          candidate_process{lease_state({entry_host_id("e0"), incarnation(1)}), {}, {}, {}, {}, {}, {}},
+          candidate_process{lease_state({entry_host_id("e1"), incarnation(1)}), {}, {}, {}, {}, {}, {}}} {
+    for (std::size_t i = 0; i < candidate_count; ++i) {
+        m_candidates.at(i).store = link(i);
+    }
+    m_candidates[1].clock_offset = clock_difference;
+}
+
+/// The hooks of one candidate, whose calls or answers may get lost on the way.
+object_store lease_scenario::link(std::size_t index) {
+    const object_store direct = m_store.hooks();
+    object_store store = direct;
+    store.get = [this, index, direct](const object_key& key) -> result<stored_object> {
+        const candidate_process& self = m_candidates.at(index);
+        if (!self.calls_arrive || !self.answers_arrive) {
+            return fail(errc::platform_unreachable, "partitioned");
+        }
+        return direct.get(key);
+    };
+    store.put = [this, index, direct](const object_key& key, const std::string& bytes,
+                                      object_version expected) -> result<object_version> {
+        const candidate_process& self = m_candidates.at(index);
+        if (!self.calls_arrive) {
+            return fail(errc::platform_unreachable, "partitioned");
+        }
+        auto written = direct.put(key, bytes, expected);
+        if (!self.answers_arrive) {
+            return fail(errc::platform_answer_lost, "partitioned");
+        }
+        return written;
+    };
+    return store;
+}
+
+void lease_scenario::partition(std::size_t index, bool calls_arrive, bool answers_arrive) {
+    m_candidates.at(index).calls_arrive = calls_arrive;
+    m_candidates.at(index).answers_arrive = answers_arrive;
+}
+
+void lease_scenario::pass(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += lease_step) {
+        m_now += lease_step;
+        for (candidate_process& each : m_candidates) {
+            act(each);
+            check();
+        }
+    }
+}
+
+void lease_scenario::act(candidate_process& self) {
+    const time_point now = clock_of(self);
+    if (self.killed || self.paused || (self.resumes_at && now < *self.resumes_at)) {
+        return;
+    }
+    if (self.answer) {
+        std::exchange(self.answer, nullptr)();
+    }
+    const lease_action action = self.state.next(now);
+    if (action == lease_action::nothing || (self.next_call && now < *self.next_call)) {
+        return;
+    }
+    if (action == lease_action::wait) {
+        read(self, now);
+    } else {
+        write(self, now);
+    }
+}
+
+void lease_scenario::read(candidate_process& self, time_point now) {
+    self.next_call = now + seconds(1);
+    const auto object = self.store.get(lease_object);
+    if (object) {
+        self.state.observe({object.value().version, detail::decode_lease(object.value().bytes).value()}, now);
+    } else if (object.error().code == errc::object_not_found) {
+        self.state.observe({}, now);
+    }
+}
+
+void lease_scenario::write(candidate_process& self, time_point now) {
+    const write_id id(std::to_string(&self - m_candidates.data()) + "-" + std::to_string(++self.writes));
+    const lease_proposal proposal = self.state.propose(now, id);
+    const conditional_writer writer(self.store, history_of, [](unsigned) {});
+    const auto written = writer.write(
+        {lease_object, proposal.expected, proposal.base, id, detail::encode_lease(proposal.value)});
+    if (!written || written.value().superseded) {
+        read(self, now);
+        return;
+    }
+    const auto finish = [&self, proposal, version = written.value().version, now] {
+        self.state.written(proposal, version, now);
+    };
+    if (self.pause_in_write > milliseconds(0)) {
+        self.resumes_at = now + std::exchange(self.pause_in_write, milliseconds(0));
+        self.answer = finish;
+        return;
+    }
+    finish();
+}
+
+std::optional<fencing_number> lease_scenario::term(std::size_t index) const {
+    const candidate_process& self = m_candidates.at(index);
+    const auto current = self.state.current(clock_of(self));
+    // A paused process acts again on its own clock at any time, so its term counts as if it ran.
+    return current && !self.killed ? std::optional(current.value()) : std::nullopt;
+}
+
+std::optional<std::size_t> lease_scenario::holder() const {
+    for (std::size_t i = 0; i < candidate_count; ++i) {
+        if (term(i)) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void lease_scenario::check() {
+    report(m_seen, term(0) && term(1), 3, "two processes hold the lease");
+    for (std::size_t i = 0; i < candidate_count; ++i) {
+        const auto held = term(i);
+        report(m_seen, held && *held < m_highest, 3, "a holder acts under an old term");
+        m_highest = std::max(m_highest, held.value_or(m_highest));
+    }
+}
+
+void lease_scenario::expect_holder() {
+    report(m_seen, !holder(), 1, "nobody holds the lease after the faults are over");
+}
+
+void lease_scenario::expect_lost(std::size_t candidate) {
+    report(m_seen, term(candidate).has_value(), 3, "a process that lost its authority still acts");
+}
+
+namespace {
+
+using lease_steps = std::function<void(lease_scenario&)>;
+
+std::function<violations()> lease_run(lease_steps steps, duration clock_difference = duration(0)) {
+    return [steps = std::move(steps), clock_difference] {
+        lease_scenario scenario(clock_difference);
+        steps(scenario);
+        return scenario.seen();
+    };
+}
+
+/// The faults of the store come with the next write and end after `time`.
+lease_steps under_store(milliseconds lead, store_faults faults, milliseconds time) {
+    return [=](lease_scenario& scenario) {
+        scenario.pass(lead);
+        scenario.set_faults(faults);
+        scenario.pass(time);
+        scenario.set_faults({});
+        scenario.pass(seconds(9));
+        scenario.expect_holder();
+    };
+}
+
+/// The faults of the first holder come after `lead`; afterwards the other one must hold the lease.
+lease_steps under_holder(milliseconds lead, lease_steps begin, lease_steps end) {
+    return [=](lease_scenario& scenario) {
+        scenario.pass(lead);
+        begin(scenario);
+        scenario.pass(seconds(12));
+        scenario.expect_lost(0);
+        scenario.expect_holder();
+        end(scenario);
+        scenario.pass(seconds(12));
+        scenario.expect_holder();
+    };
+}
+
+/// The cells of acquisition (no time before the faults) and renewal (the first term is held).
+void add_lease_step(std::vector<cell>& cells, step where, milliseconds lead) {
+    step_cells add(cells, where, {1, 3});
+    const lease_steps nothing = [](lease_scenario&) {};
+    add.check(fault::killed,
+              "the holder dies: another takes over under a higher term after the old one ended",
+              lease_run(under_holder(
+                  lead, [](lease_scenario& s) { s.kill(0); }, nothing)));
+    add.check(fault::paused, "the holder pauses for 12 s: its term is over when it resumes",
+              lease_run(under_holder(
+                  lead, [](lease_scenario& s) { s.pause(0, true); },
+                  [](lease_scenario& s) { s.pause(0, false); })));
+    add.check(fault::partitioned_one_way,
+              "writes of the holder arrive and their answers don't: it gives up in time",
+              lease_run([lead](lease_scenario& s) {
+                  s.pass(lead);
+                  s.partition(0, true, false);
+                  s.pass(seconds(20));
+                  s.heal(0);
+                  s.pass(seconds(12));
+                  s.expect_holder();
+              }));
+    add.check(fault::partitioned_both_ways,
+              "the holder reaches no store: it gives up before another takes over",
+              lease_run(under_holder(
+                  lead, [](lease_scenario& s) { s.partition(0, false, false); },
+                  [](lease_scenario& s) { s.heal(0); })));
+    add.check(fault::answer_late,
+              "the answer of the write comes 3 s late: the term counts from before the write",
+              lease_run([lead](lease_scenario& s) {
+                  s.pass(lead);
+                  s.pause_in_write(0, seconds(3));
+                  s.pass(seconds(20));
+                  s.expect_holder();
+              }));
+    add.check(fault::answer_lost,
+              "the answer of the write is lost: the write is proved and the term counts once",
+              lease_run(under_store(lead, {.lose_answers = 1}, seconds(4))));
+    add.exclude(fault::answered_twice, "each HTTP answer ends its call, so that a second one has no reader.");
+    add.exclude(fault::crossed, "each call has a connection of its own until its answer is read.");
+    add.check(fault::stale_read,
+              "reads return the lease before its last write: no takeover of a renewed lease",
+              lease_run(under_store(lead, {.stale_reads = 4}, seconds(9))));
+    add.check(fault::store_down,
+              "the store is down for 20 s: the term ends, and one candidate holds the lease afterwards",
+              lease_run(under_store(lead, {.down = true}, seconds(20))));
+    add.check(fault::store_slow, "writes arrive after their attempts failed: one holder",
+              lease_run(under_store(lead, {.delay_writes = 2}, seconds(9))));
+    add.check(fault::store_rate_limited, "calls are refused by rate: the term ends or is renewed, one holder",
+              lease_run(under_store(lead, {.refuse = 12}, seconds(9))));
+    add.check(fault::lease_lapsed,
+              "the holder pauses between its write and the answer until the lease has lapsed: the term is "
+              "over when it resumes",
+              lease_run([lead](lease_scenario& s) {
+                  s.pass(lead);
+                  s.pause_in_write(0, seconds(15));
+                  s.pass(seconds(14));
+                  s.expect_lost(0);
+                  s.pass(seconds(10));
+                  s.expect_holder();
+              }));
+    add.exclude(fault::engine_crash, "no backend server takes part in the lease.");
+    add.check(fault::clock_jump,
+              "the clocks of the two candidates are an hour apart: no time crosses between them",
+              lease_run(under_holder(
+                            lead, [](lease_scenario& s) { s.kill(0); }, nothing),
+                        std::chrono::hours(1)));
+}
+
+} // namespace
+
+void add_lease_cells(std::vector<cell>& cells) {
+    add_lease_step(cells, step::lease_acquisition, milliseconds(0));
+    add_lease_step(cells, step::lease_renewal, milliseconds(2000));
+}
+
+} // namespace parsleypitch::fault_matrix
--- /dev/null
+++ b/tests/fault_request.cpp
@@ -0,0 +1,368 @@
+#include "fault_claims.hpp"
+#include "fault_matrix.hpp"
+
+#include <parsleypitch/entry/request_path.hpp>
+#include <parsleypitch/retry/retry.hpp>
+
+#include <deque>
+#include <memory>
+
+namespace parsleypitch::fault_matrix {
+
+namespace {
+
+/// What the first attempt at a request meets; later attempts meet a sound agent.
+enum class attempt_fault {
+    none,
+    no_effect,     // the stream breaks before the request reached the agent
+    late_effect,   // the stream breaks, and the request runs after all other events
+    broken_answer, // the request runs and its answer breaks off
+    late_answer,   // the answer breaks off, and the rest arrives in the next attempt
+    repeated,      // every event arrives twice
+    foreign,       // the events of another request arrive
+    refused,       // the agent refuses before it starts
+    engine_crash,  // the engine crashes and the agent says so
+    cut_answer,    // the end arrives before the last token
+};
+
+enum class work_kind { generation, lookup, booking };
+
+/// One request through the real request path and retry policy to scripted agents.
+class request_scenario {
+  public:
+    request_scenario(work_kind kind, attempt_fault first) : m_kind(kind), m_first(first) {
+        m_request.id = request_id("r1");
+        m_request.start_by = m_now + seconds(10);
+        if (kind == work_kind::generation) {
+            generate_work work;
+            work.max_tokens = token_count(3);
+            m_request.work = work;
+        } else {
+            call_work work;
+            work.repeatable = kind == work_kind::lookup;
+            m_request.work = work;
+        }
+        set_hooks();
+    }
+
+    /// The clock moves by `jump` while the first attempt is open.
+    void jump_clock(duration jump) { m_jump = jump; }
+    /// No server may be found or no time be left, so that a refusal is no violation.
+    void permit_refusal() { m_refusal_permitted = true; }
+    [[nodiscard]] unsigned runs() const { return m_runs; }
+    [[nodiscard]] run_state final_state() const { return m_final; }
+
+    violations run() {
+        m_kind == work_kind::generation ? read_generation() : read_call();
+        m_runs += m_late_runs;
+        report(m_seen, m_kind == work_kind::booking && m_runs > 1, 6, "the booking ran twice");
+        report(m_seen, m_final == run_state::not_run && m_runs > 0, 5, "not run, but the work ran");
+        return m_seen;
+    }
+
+  private:
+    using event_list = std::deque<result<execute_event>>;
+
+    void set_hooks() {
+        m_hooks.clock = [this] { return m_now; };
+        m_hooks.execute = [this](const endpoint&, const execute_request& attempt) { return open(attempt); };
+        m_hooks.choose = [](const route_question& question) -> result<route> {
+            for (const char* server : {"b1", "b2", "b3", "b4"}) {
+                if (!question.excluded.contains(server)) {
+                    return route{server, endpoint(server), false};
+                }
+            }
+            return fail(errc::no_backend_server, "all failed");
+        };
+        m_hooks.may_retry = [this](const retry_question& question) { return decide(question); };
+        m_hooks.sleep = [this](duration pause) { m_now += pause; };
+        m_hooks.on_attempt = [](const caller_request&, const route&) {};
+        m_hooks.on_attempt_end = [](const caller_request&, const route&, const std::optional<load_report>&,
+                                    duration) {};
+        m_hooks.on_failure = [](const route&, const error&) {};
+    }
+
+    result<duration> decide(const retry_question& question) {
+        const auto* call = std::get_if<call_work>(&question.request.work);
+        const retry_decision decision =
+            m_policy.decide({question.why.code, question.ran, call == nullptr || call->repeatable,
+                             question.attempt, question.request.start_by, milliseconds(0)},
+                            m_budget, m_now);
+        if (!decision.retry()) {
+            return question.why;
+        }
+        return decision.delay;
+    }
+
+    execute_event event_of(const execute_request& attempt, decltype(execute_event::event) event) const {
+        return {attempt.id, attempt.attempt, std::move(event), {}};
+    }
+
+    event_list sound_answer(const execute_request& attempt) const {
+        if (m_kind != work_kind::generation) {
+            return {event_of(attempt, plain_answer{200, "", "own"})};
+        }
+        event_list events;
+        for (auto index = std::get<generate_work>(attempt.work).resume_from.value(); index < 3; ++index) {
+            events.push_back(event_of(attempt, token_event{token_index(index), std::to_string(index)}));
+        }
+        events.push_back(event_of(attempt, generation_end{token_count(3), {}, {}}));
+        return events;
+    }
+
+    event_list first_answer(const execute_request& attempt) {
+        const error broken = fail(errc::agent_broken, "the stream broke");
+        event_list events = sound_answer(attempt);
+        m_runs += m_first == attempt_fault::no_effect || m_first == attempt_fault::refused ||
+                          m_first == attempt_fault::late_effect
+                      ? 0
+                      : 1;
+        switch (m_first) {
+        case attempt_fault::none:
+            return events;
+        case attempt_fault::late_effect:
+            m_late_runs = 1;
+            return {broken};
+        case attempt_fault::no_effect:
+            return {broken};
+        case attempt_fault::late_answer:
+            m_late.assign(events.begin() + (events.size() > 1 ? 1 : 0), events.end());
+            [[fallthrough]];
+        case attempt_fault::broken_answer:
+            return events.size() > 1 ? event_list{events.front(), broken} : event_list{broken};
+        case attempt_fault::repeated:
+            for (std::size_t i = 0; i < events.size(); i += 2) {
+                events.insert(events.begin() + static_cast<std::ptrdiff_t>(i), events[i]);
+            }
+            return events;
+        case attempt_fault::foreign:
+            for (auto& each : events) {
+                each.value().id = request_id("r2");
+                if (auto* token = std::get_if<token_event>(&each.value().event)) {
+                    token->text = "other";
+                } else if (auto* answer = std::get_if<plain_answer>(&each.value().event)) {
+                    answer->body = "other";
+                }
+            }
+            return events;
+        case attempt_fault::refused:
+            return {event_of(attempt, refusal{fail(errc::backend_leaving, ""), run_state::not_run, {}})};
+        case attempt_fault::engine_crash:
+            events.resize(events.size() > 1 ? 1 : 0, broken);
+            events.push_back(event_of(
+                attempt,
+                refusal{fail(errc::backend_broken, ""),
+                        m_kind == work_kind::generation ? run_state::ran : run_state::outcome_unknown,
+                        {}}));
+            return events;
+        case attempt_fault::cut_answer:
+            return events.size() > 1 ? event_list{events.front(), events.back()} : event_list{broken};
+        }
+        return events;
+    }
+
+    execute_stream open(const execute_request& attempt) {
+        event_list events;
+        if (attempt.attempt == attempt_number(1)) {
+            events = first_answer(attempt);
+            m_now += m_jump;
+        } else {
+            ++m_runs;
+            events = sound_answer(attempt);
+            events.insert(events.begin(), m_late.begin(), m_late.end());
+            m_late.clear();
+        }
+        const auto held = std::make_shared<event_list>(std::move(events));
+        return {[held]() -> result<execute_event> {
+                    if (held->empty()) {
+                        return fail(errc::agent_broken, "no further event");
+                    }
+                    auto event = std::move(held->front());
+                    held->pop_front();
+                    return event;
+                },
+                [] {}};
+    }
+
+    void take_refusal(const refusal& refused) {
+        m_final = refused.ran;
+        // The outcome of a booking may stay unknown; repeatable work has three more servers.
+        report(m_seen, m_kind != work_kind::booking && !m_refusal_permitted, 4,
+               "no answer although other servers were sound: " + to_string(refused.why));
+    }
+
+    void read_generation() {
+        generation_run generation(m_request, m_hooks);
+        std::string text;
+        for (;;) {
+            const auto next = generation.next();
+            if (const auto* token = std::get_if<token_event>(&next)) {
+                text += token->text;
+                continue;
+            }
+            if (const auto* refused = std::get_if<refusal>(&next)) {
+                take_refusal(*refused);
+            }
+            const bool complete = std::holds_alternative<generation_end>(next);
+            report(m_seen, complete && text != "012", 4, "complete answer with the text " + text);
+            report(m_seen, complete && m_runs == 0, 4, "an answer that no engine gave");
+            m_final = complete ? run_state::ran : m_final;
+            return;
+        }
+    }
+
+    void read_call() {
+        const auto outcome = run_call(m_request, m_hooks);
+        if (const auto* refused = std::get_if<refusal>(&outcome)) {
+            return take_refusal(*refused);
+        }
+        m_final = run_state::ran;
+        report(m_seen, std::get<plain_answer>(outcome).body != "own", 4, "the answer of another request");
+    }
+
+    work_kind m_kind;
+    attempt_fault m_first;
+    caller_request m_request;
+    request_hooks m_hooks;
+    retry_policy m_policy{{}, [](std::uint64_t) { return std::uint64_t(0); }};
+    retry_budget m_budget;
+    event_list m_late;
+    violations m_seen;
+    time_point m_now{seconds(1000)};
+    duration m_jump{0};
+    run_state m_final = run_state::outcome_unknown;
+    unsigned m_runs = 0;
+    unsigned m_late_runs = 0;
+    bool m_refusal_permitted = false;
+};
+
+/// Runs the three kinds of work under one fault.
+std::function<violations()> all_kinds(attempt_fault first, duration jump = duration(0)) {
+    return [first, jump] {
+        violations seen;
+        for (const auto kind : {work_kind::generation, work_kind::lookup, work_kind::booking}) {
+            request_scenario scenario(kind, first);
+            scenario.jump_clock(jump);
+            if (jump > duration(0)) {
+                scenario.permit_refusal();
+            }
+            const violations found = scenario.run();
+            seen.insert(seen.end(), found.begin(), found.end());
+        }
+        return seen;
+    };
+}
+
+/// A booking with its claim and settlement while the store fails; a generation needs no store.
+std::function<violations()> booking_under(store_faults at_claim, store_faults at_settlement) {
+    return [at_claim, at_settlement] {
+        claim_scenario claims;
+        violations seen = request_scenario(work_kind::generation, attempt_fault::none).run();
+        claims.set_faults(at_claim);
+        const claim_reply reply = claims.claim(0);
+        claims.set_faults(at_settlement);
+        claims.run_if_granted(0, reply, true);
+        for (const std::string& each : claims.finish()) {
+            seen.push_back(each);
+        }
+        return seen;
+    };
+}
+
+constexpr const char* no_lease = "the request path reads no lease; agents serve requests whoever holds it.";
+
+} // namespace
+
+void add_request_cells(std::vector<cell>& cells) {
+    const store_faults down{.down = true};
+    const store_faults slow{.delay_writes = 1};
+    const store_faults limited{.refuse = 100};
+    step_cells dispatch(cells, step::request_dispatch, {4, 5, 6});
+    dispatch.check(fault::killed,
+                   "the agent dies before the request arrives: repeatable work is answered elsewhere, a "
+                   "booking is not sent again",
+                   all_kinds(attempt_fault::no_effect));
+    dispatch.check(fault::paused,
+                   "the agent runs the request long after its stream broke: a booking ran once and was not "
+                   "called `not run`",
+                   all_kinds(attempt_fault::late_effect));
+    dispatch.check(fault::partitioned_one_way,
+                   "the request arrives and nothing comes back: repeatable work is answered elsewhere, a "
+                   "booking is not sent again",
+                   all_kinds(attempt_fault::broken_answer));
+    dispatch.check(
+        fault::partitioned_both_ways,
+        "the request doesn't arrive: the outcome of a booking is unknown, other work is answered elsewhere",
+        all_kinds(attempt_fault::no_effect));
+    dispatch.check(fault::answer_late,
+                   "the first events arrive in the stream of the next attempt and are not delivered",
+                   all_kinds(attempt_fault::late_answer));
+    dispatch.check(fault::answer_lost,
+                   "the request runs and its stream breaks: the answer is whole and a booking ran once",
+                   all_kinds(attempt_fault::broken_answer));
+    dispatch.check(fault::answered_twice, "every event arrives twice: each token is delivered once",
+                   all_kinds(attempt_fault::repeated));
+    dispatch.check(fault::crossed, "the events of another request arrive: none is delivered",
+                   all_kinds(attempt_fault::foreign));
+    dispatch.check(fault::stale_read,
+                   "the chosen server left after the view was built and refuses: all work goes elsewhere",
+                   all_kinds(attempt_fault::refused));
+    dispatch.check(fault::store_down,
+                   "a booking without a durable claim is not dispatched; a generation is answered",
+                   booking_under(down, {}));
+    dispatch.check(fault::store_slow,
+                   "the claim arrives at the store after its write failed: the booking runs at most once",
+                   booking_under(slow, {}));
+    dispatch.check(fault::store_rate_limited,
+                   "a booking whose claim is refused by rate is not dispatched; a generation is answered",
+                   booking_under(limited, {}));
+    dispatch.exclude(fault::lease_lapsed, no_lease);
+    dispatch.check(
+        fault::engine_crash,
+        "the engine crashes after the dispatch: a generation resumes elsewhere, a booking is not sent again",
+        all_kinds(attempt_fault::engine_crash));
+    dispatch.check(fault::clock_jump,
+                   "an hour passes while the first attempt is open: no false `not run` and no second booking",
+                   all_kinds(attempt_fault::broken_answer, std::chrono::hours(1)));
+
+    step_cells answer(cells, step::answer, {2, 4, 5, 6});
+    answer.check(fault::killed, "the agent dies in mid-answer: the generation resumes at the next token",
+                 all_kinds(attempt_fault::broken_answer));
+    answer.check(fault::paused,
+                 "the agent resumes after the request went elsewhere: its late events are dropped",
+                 all_kinds(attempt_fault::late_answer));
+    answer.check(fault::partitioned_one_way,
+                 "the rest of the answer is lost: the generation resumes, a booking is not sent again",
+                 all_kinds(attempt_fault::broken_answer));
+    answer.check(fault::partitioned_both_ways,
+                 "the stream breaks in mid-answer: the generation resumes, a booking is not sent again",
+                 all_kinds(attempt_fault::broken_answer));
+    answer.check(fault::answer_late,
+                 "the rest of the answer arrives in the next attempt's stream and is dropped",
+                 all_kinds(attempt_fault::late_answer));
+    answer.check(fault::answer_lost,
+                 "the end arrives without the tokens before it: the answer is not passed on as complete",
+                 all_kinds(attempt_fault::cut_answer));
+    answer.check(fault::answered_twice, "tokens and end arrive twice: each token is delivered once",
+                 all_kinds(attempt_fault::repeated));
+    answer.check(fault::crossed, "the answer of another request arrives and is not delivered",
+                 all_kinds(attempt_fault::foreign));
+    answer.exclude(fault::stale_read,
+                   "an answer comes from the stream of its attempt and from no store or cache.");
+    answer.check(fault::store_down, "the settlement of a booking fails: its key is never granted again",
+                 booking_under({}, down));
+    answer.check(fault::store_slow,
+                 "the settlement arrives late at the store: its key is never granted again",
+                 booking_under({}, slow));
+    answer.check(fault::store_rate_limited,
+                 "the settlement is refused by rate: its key is never granted again",
+                 booking_under({}, limited));
+    answer.exclude(fault::lease_lapsed, no_lease);
+    answer.check(fault::engine_crash,
+                 "the engine crashes in mid-answer: the generation resumes at the next token",
+                 all_kinds(attempt_fault::engine_crash));
+    answer.check(fault::clock_jump, "an hour passes in mid-answer: no false `not run` and no second booking",
+                 all_kinds(attempt_fault::engine_crash, std::chrono::hours(1)));
+}
+
+} // namespace parsleypitch::fault_matrix
