Encode answers whose text is no UTF-8

Cause: nlohmann's dump throws on bytes that are no UTF-8, and the detail of a refusal may quote a path or a header of a caller (property answers_with_any_bytes_are_encoded). Change: such bytes are replaced in the encoded text. Conclusion: every refusal and token event can be sent.

--- a/src/entry/http_messages.cpp
+++ b/src/entry/http_messages.cpp
@@ -77,8 +77,13 @@
             {"total_tokens", prompt + end.tokens.value()}};
 }
 
+/// Details of refusals may quote any bytes of a caller; what is no UTF-8 is replaced.
+std::string dumped(const json& body) {
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string server_sent(const json& body) {
-    return "data: " + body.dump() + "\n\n";
+    return "data: " + dumped(body) + "\n\n";
 }
 
 json refusal_json(const request_id& id, const refusal& refused) {
@@ -170,11 +175,11 @@
     }
     body["choices"] = json::array({choice});
     body["usage"] = usage_of(request, end);
-    return body.dump();
+    return dumped(body);
 }
 
 std::string encode_refusal(const request_id& id, const refusal& refused) {
-    return refusal_json(id, refused).dump();
+    return dumped(refusal_json(id, refused));
 }
 
 int http_status(const refusal& refused) {
