--- a/tests/fault_claims.cpp
+++ b/tests/fault_claims.cpp
@@ -16,7 +16,7 @@
 }
 
 partition_committer claim_scenario::make_committer(unsigned number) {
-    return {partition_id(0), host(number, m_born.at(number)),
+    return {partition_id(0), host(number, ++m_committer_count),
             claim_commit_hooks{m_store.hooks(), [](unsigned) {},
                                [this] {
                                    return claim_circumstances{m_live, m_now};
--- a/tests/fault_claims.hpp
+++ b/tests/fault_claims.hpp
@@ -49,6 +49,8 @@
     memory_object_store m_store;
     wall_time m_now{std::chrono::hours(1000)};
     std::vector<std::uint64_t> m_born{1, 1};
+    /// Distinguishes the ids of all committers, as the incarnation does in a fleet.
+    std::uint64_t m_committer_count = 0;
     std::vector<host_instance> m_live{host(0), host(1)};
     std::vector<partition_committer> m_committers;
     std::map<unsigned, unsigned> m_runs;
--- /dev/null
+++ b/tests/fault_config.hpp
@@ -0,0 +1,235 @@
+#pragma once
+
+#include "config_documents.hpp"
+#include "fault_matrix.hpp"
+#include "fault_store.hpp"
+
+#include <parsleypitch/configuration/config_adoption.hpp>
+#include <parsleypitch/configuration/config_store.hpp>
+#include <parsleypitch/configuration/head_watcher.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace parsleypitch::fault_matrix {
+
+using store_fault = fault_store::fault;
+
+inline const object_key head_key("config/trial/head");
+inline const object_key second_version("config/trial/v/2");
+
+/// Operators accept versions under faults; the accepted history must contain what they were told.
+class acceptance_scenario {
+  public:
+    acceptance_scenario() { accept(1); }
+
+    /// Accepts a document and notes what its operator was told.
+    void accept(int worth) {
+        const auto entry = m_store.accept(document(worth), {});
+        if (entry) {
+            m_told.push_back(entry.value());
+        } else if (entry.error().code != errc::platform_answer_lost) {
+            m_refused.push_back(hash_of(document(worth)));
+        }
+    }
+    /// Another operator accepts between the decision and the write of this one.
+    void race(int worth) {
+        m_objects.before_write(head_key, [this, worth] { accept(worth); });
+    }
+    fault_store& objects() { return m_objects; }
+
+    violations finish() {
+        m_objects.set_down(false);
+        m_objects.fail_writes(head_key, {});
+        m_objects.fail_reads(head_key, {});
+        const auto history = m_store.history();
+        if (!history) {
+            return {"I9: the head can't be read: " + to_string(history.error())};
+        }
+        violations seen;
+        const auto& entries = history.value();
+        for (std::size_t i = 1; i < entries.size(); ++i) {
+            report(seen, entries[i].version <= entries[i - 1].version, 9, "versions don't increase");
+        }
+        for (const config_entry& told : m_told) {
+            report(seen, std::count(entries.begin(), entries.end(), told) != 1, 9,
+                   "an accepted version is missing or doubled");
+            report(seen, !m_store.read_version(told), 9, "accepted bytes are lost");
+        }
+        for (const content_hash& hash : m_refused) {
+            report(seen,
+                   std::any_of(entries.begin(), entries.end(),
+                               [&](const config_entry& each) { return each.hash == hash; }),
+                   9, "a refused document was accepted");
+        }
+        check_watcher(seen, entries.back().version);
+        return seen;
+    }
+
+  private:
+    void check_watcher(violations& seen, config_version newest) {
+        head_watcher watcher(m_store, m_objects.hooks(), [] { return time_point(seconds(1)); });
+        config_version at_hand;
+        for (int round = 0; round < 4; ++round) {
+            const watch_round next = watcher.next(at_hand);
+            if (next.content) {
+                at_hand = next.content->manifest.version;
+            }
+        }
+        report(seen, at_hand != newest, 9, "a watcher doesn't get the newest version");
+    }
+
+    fault_store m_objects;
+    int m_ids = 0;
+    config_store m_store{m_objects.hooks(), environment_name("trial"),
+                         [this] { return write_id("w" + std::to_string(++m_ids)); }, [](unsigned) {}};
+    std::vector<config_entry> m_told;
+    std::vector<content_hash> m_refused;
+};
+
+/// A watcher and three followers that adopt versions by heartbeats; version 1 is in force everywhere.
+class relay_scenario {
+  public:
+    static constexpr std::size_t process_count = 4;
+
+    relay_scenario() {
+        for (std::size_t i = 0; i < process_count; ++i) {
+            m_processes.emplace_back(peers_of(i));
+        }
+        accept(1);
+        for (int round = 0; round < 4; ++round) {
+            tick();
+        }
+    }
+
+    void accept(std::uint64_t version) {
+        m_accepted = config_version(version);
+        m_accepted_at = m_now;
+    }
+
+    /// Heartbeats from `from` to `to` are dropped.
+    void cut(std::size_t from, std::size_t to, bool is_cut = true) { m_cut.at(from).at(to) = is_cut; }
+    void isolate(std::size_t process) {
+        for (std::size_t other = 0; other < process_count; ++other) {
+            cut(process, other);
+            cut(other, process);
+        }
+        m_reachable.at(process) = false;
+    }
+    void set_store_up(bool up) { m_store_up = up; }
+    void pause(std::size_t process, bool paused) { m_paused.at(process) = paused; }
+    void restart(std::size_t process) {
+        m_processes.at(process) = config_adoption(peers_of(process));
+        m_last.at(process) = config_version();
+    }
+    /// The store reports a version that is no longer the head; the confirming watch finds a later one.
+    void read_stale() { m_stale = true; }
+    void delay_heartbeats(milliseconds delay) { m_delay = delay; }
+    void repeat_heartbeats() { m_repeat = true; }
+    void jump(duration time) { m_now += time; }
+    /// An offer as an old heartbeat carries it.
+    void offer(std::size_t to, std::uint64_t version, milliseconds age) {
+        m_processes.at(to).take_offer({config_version(version), age}, m_now);
+        m_processes.at(to).peer_answered(endpoint("p1"), config_version(version));
+        fetch(m_processes.at(to));
+    }
+
+    /// One second with a heartbeat between all processes.
+    void tick() {
+        m_now += seconds(1);
+        for (std::size_t i = 0; i < process_count; ++i) {
+            if (m_store_up && !m_paused.at(i) && (i == 0 || m_processes.at(i).is_fresh())) {
+                read_store(m_processes.at(i));
+            }
+        }
+        for (std::size_t from = 0; from < process_count; ++from) {
+            for (std::size_t to = 0; to < process_count; ++to) {
+                heartbeat(from, to);
+            }
+        }
+        check();
+    }
+
+    violations finish() {
+        for (int second = 0; second < 4; ++second) {
+            tick();
+        }
+        for (std::size_t i = 0; i < process_count; ++i) {
+            report(m_seen, m_reachable.at(i) && !m_paused.at(i) && m_processes.at(i).in_force() != m_accepted,
+                   9, "process " + std::to_string(i) + " lacks the accepted version after 4 s");
+        }
+        return m_seen;
+    }
+    /// Nobody can learn of the accepted version while the store is unreachable.
+    violations finish_without_store() {
+        m_reachable.fill(false);
+        return finish();
+    }
+
+  private:
+    static std::set<endpoint> peers_of(std::size_t self) {
+        std::set<endpoint> peers;
+        for (std::size_t i = 0; i < process_count; ++i) {
+            peers.insert(endpoint("p" + std::to_string(i)));
+        }
+        peers.erase(endpoint("p" + std::to_string(self)));
+        return peers;
+    }
+
+    void read_store(config_adoption& process) {
+        const config_version read = m_stale ? config_version(1) : m_accepted;
+        process.take_offer({read, milliseconds(0)}, m_now - proof_lifetime);
+        if (!std::exchange(m_stale, false)) {
+            process.store_confirmed(m_accepted, m_now);
+        }
+        fetch(process);
+    }
+
+    void fetch(config_adoption& process) {
+        if (const auto wanted = process.wanted()) {
+            (void)process.take_content(*wanted);
+        }
+    }
+
+    void heartbeat(std::size_t from, std::size_t to) {
+        const auto sent = m_processes.at(from).proven_at();
+        if (from == to || m_cut.at(from).at(to) || m_paused.at(from) || m_paused.at(to) || !sent) {
+            return;
+        }
+        for (int copy = 0; copy < (m_repeat ? 2 : 1); ++copy) {
+            const auto age = std::chrono::duration_cast<milliseconds>(m_now - *sent) + m_delay;
+            const config_version offered = m_processes.at(from).in_force();
+            m_processes.at(to).take_offer({offered, age}, m_now);
+            m_processes.at(to).peer_answered(endpoint("p" + std::to_string(from)), offered);
+            fetch(m_processes.at(to));
+        }
+    }
+
+    void check() {
+        for (std::size_t i = 0; i < process_count; ++i) {
+            const config_adoption& process = m_processes.at(i);
+            report(m_seen, process.in_force() < m_last.at(i), 9, "a version was reverted");
+            m_last.at(i) = process.in_force();
+            report(m_seen,
+                   process.proven(m_now) && process.in_force() < m_accepted &&
+                       m_now - m_accepted_at >= proof_lifetime,
+                   9, "a process with an old version counts as proven");
+        }
+    }
+
+    std::vector<config_adoption> m_processes;
+    std::array<config_version, process_count> m_last{};
+    std::array<std::array<bool, process_count>, process_count> m_cut{};
+    std::array<bool, process_count> m_paused{};
+    std::array<bool, process_count> m_reachable{true, true, true, true};
+    config_version m_accepted;
+    time_point m_accepted_at;
+    time_point m_now{std::chrono::hours(1)};
+    milliseconds m_delay{0};
+    violations m_seen;
+    bool m_store_up = true;
+    bool m_stale = false;
+    bool m_repeat = false;
+};
+
+} // namespace parsleypitch::fault_matrix
--- /dev/null
+++ b/tests/unit-fault-sequences.cpp
@@ -0,0 +1,268 @@
+#include "fault_claims.hpp"
+#include "fault_config.hpp"
+#include "fault_lease.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+
+namespace parsleypitch::fault_matrix {
+
+namespace {
+
+/// Fixes the seed of all properties, so that each run has the same verdict; RapidCheck prints it. RC_PARAMS
+/// in the environment overrides it.
+class fixed_seed final : public testing::Environment {
+  public:
+    void SetUp() override { setenv("RC_PARAMS", "seed=20261204", 0); }
+};
+
+const testing::Environment* const registered_seed = testing::AddGlobalTestEnvironment(new fixed_seed);
+
+struct named_faults {
+    const char* name;
+    store_faults faults;
+};
+
+const std::vector<named_faults> faults_of_store = {
+    {"none", {}},
+    {"down", {.down = true}},
+    {"answer lost", {.lose_answers = 1}},
+    {"all answers lost", {.lose_answers = 100}},
+    {"write lost", {.lose_writes = 1}},
+    {"all writes lost", {.lose_writes = 100}},
+    {"write late", {.delay_writes = 1}},
+    {"all writes late", {.delay_writes = 4}},
+    {"refused once", {.refuse = 1}},
+    {"refused", {.refuse = 100}},
+    {"stale read", {.stale_reads = 1}},
+    {"stale reads", {.stale_reads = 8}},
+};
+
+std::string all_of(const violations& seen) {
+    std::string text;
+    for (const std::string& each : seen) {
+        text += each + "; ";
+    }
+    return text;
+}
+
+} // namespace
+
+class fault_pairs_fixture : public testing::Test {
+  protected:
+    /// Runs a scenario under every ordered pair of faults.
+    static void
+    for_all_pairs(const std::function<violations(const store_faults&, const store_faults&)>& run) {
+        for (const named_faults& first : faults_of_store) {
+            for (const named_faults& second : faults_of_store) {
+                EXPECT_EQ(all_of(run(first.faults, second.faults)), "")
+                    << first.name << ", then " << second.name;
+            }
+        }
+    }
+};
+
+// Guards against a second run of a key after faults at its claim and at its settlement, in both orders.
+TEST_F(fault_pairs_fixture, claim_with_faults_at_its_write_and_its_settlement_runs_once) {
+    for_all_pairs([](const store_faults& at_claim, const store_faults& at_settlement) {
+        claim_scenario model;
+        model.set_faults(at_claim);
+        const claim_reply reply = model.claim(0);
+        model.run_if_granted(0, reply, false);
+        model.set_faults(at_settlement);
+        (void)model.settle(0, reply.grant, run_state::ran);
+        return model.finish();
+    });
+}
+
+// Guards against a second run when the next owner claims the key under further faults.
+TEST_F(fault_pairs_fixture, claim_with_faults_at_two_owners_in_turn_runs_once) {
+    for_all_pairs([](const store_faults& at_first, const store_faults& at_second) {
+        claim_scenario model;
+        (void)model.claim(1, 1);
+        model.set_faults(at_first);
+        model.run_if_granted(0, model.claim(0), false);
+        model.set_faults(at_second);
+        model.run_if_granted(1, model.claim(1), true);
+        model.run_if_granted(0, model.claim(0), true);
+        return model.finish();
+    });
+}
+
+// Guards against two holders after faults at the acquisition and at the renewal that follows.
+TEST_F(fault_pairs_fixture, lease_with_faults_at_acquisition_and_renewal_has_one_holder) {
+    for_all_pairs([](const store_faults& at_acquisition, const store_faults& at_renewal) {
+        lease_scenario model;
+        model.set_faults(at_acquisition);
+        model.pass(seconds(3));
+        model.set_faults(at_renewal);
+        model.pass(seconds(9));
+        model.set_faults({});
+        model.pass(seconds(9));
+        model.expect_holder();
+        return model.seen();
+    });
+}
+
+// Guards against a lost or doubled version after faults at the content and at the head that names it.
+TEST_F(fault_pairs_fixture, acceptance_with_faults_at_content_and_head_keeps_what_its_operator_was_told) {
+    const std::vector<std::deque<store_fault>> faults = {
+        {},
+        {store_fault::refuse},
+        {store_fault::lose_before},
+        {store_fault::lose_after},
+        std::deque<store_fault>(20, store_fault::refuse),
+        std::deque<store_fault>(20, store_fault::lose_before),
+        std::deque<store_fault>(20, store_fault::lose_after),
+    };
+    for (const auto& at_content : faults) {
+        for (const auto& at_head : faults) {
+            acceptance_scenario model;
+            model.objects().fail_writes(second_version, at_content);
+            model.objects().fail_writes(head_key, at_head);
+            model.accept(2);
+            model.race(4);
+            model.accept(3);
+            EXPECT_EQ(all_of(model.finish()), "");
+        }
+    }
+}
+
+void expect_none(const violations& seen) {
+    if (!seen.empty()) {
+        RC_FAIL(all_of(seen));
+    }
+}
+
+/// A step of a random sequence; each path gives its own meaning to the numbers.
+using random_step = std::tuple<unsigned, unsigned, unsigned>;
+using random_steps = std::vector<random_step>;
+
+random_steps steps_of(unsigned kinds, unsigned targets) {
+    return *rc::gen::container<random_steps>(
+        rc::gen::tuple(rc::gen::inRange(0U, kinds), rc::gen::inRange(0U, targets),
+                       rc::gen::inRange(0U, static_cast<unsigned>(faults_of_store.size()))));
+}
+
+// Guards against a second run of a key after any sequence of claims, settlements, restarts and faults.
+RC_GTEST_PROP(fault_property, random_faults_of_claims_violate_no_invariant, ()) {
+    claim_scenario model;
+    claim_reply last;
+    unsigned last_owner = 0;
+    for (const auto& [kind, owner, number] : steps_of(7, 2)) {
+        switch (kind) {
+        case 0:
+        case 1:
+            last = model.claim(owner);
+            last_owner = owner;
+            model.run_if_granted(owner, last, kind == 1);
+            break;
+        case 2:
+            (void)model.settle(owner, last.grant, run_state::ran);
+            break;
+        case 3:
+            model.restart(owner);
+            break;
+        case 4:
+            model.forget(owner);
+            break;
+        case 5:
+            model.lose_sight_of(last_owner);
+            break;
+        default:
+            model.set_faults(faults_of_store.at(number).faults);
+            break;
+        }
+    }
+    expect_none(model.finish());
+}
+
+// Guards against two holders after any sequence of pauses, partitions and faults of the store.
+RC_GTEST_PROP(fault_property, random_faults_of_the_lease_violate_no_invariant, ()) {
+    lease_scenario model;
+    for (const auto& [kind, candidate, number] : steps_of(6, 2)) {
+        switch (kind) {
+        case 0:
+            model.pause(candidate, number % 2 == 0);
+            break;
+        case 1:
+            model.pause_in_write(candidate, seconds(number));
+            break;
+        case 2:
+            model.partition(candidate, number % 3 != 0, number % 3 == 2);
+            break;
+        case 3:
+            model.set_faults(faults_of_store.at(number).faults);
+            break;
+        default:
+            model.pass(milliseconds(500) * (number + 1));
+            break;
+        }
+    }
+    expect_none(model.seen());
+}
+
+// Guards against a lost, doubled or reverted version after any sequence of acceptances and faults.
+RC_GTEST_PROP(fault_property, random_faults_of_acceptances_violate_no_invariant, ()) {
+    acceptance_scenario model;
+    int worth = 100;
+    for (const auto& [kind, target, number] : steps_of(5, 4)) {
+        const std::deque<store_fault> faults(number, static_cast<store_fault>(target));
+        switch (kind) {
+        case 0:
+            model.race(++worth);
+            break;
+        case 1:
+            if (target != static_cast<unsigned>(store_fault::stale)) {
+                model.objects().fail_writes(head_key, faults);
+            }
+            break;
+        case 2:
+            model.objects().fail_writes(second_version, faults);
+            break;
+        case 3:
+            model.objects().set_down(target == 0);
+            break;
+        default:
+            model.accept(++worth);
+            break;
+        }
+    }
+    expect_none(model.finish());
+}
+
+// Guards against a reverted version and a false proof after any sequence of cuts, pauses and restarts.
+RC_GTEST_PROP(fault_property, random_faults_of_the_relay_violate_no_invariant, ()) {
+    relay_scenario model;
+    std::uint64_t version = 1;
+    for (const auto& [kind, process, number] : steps_of(8, relay_scenario::process_count)) {
+        switch (kind) {
+        case 0:
+            model.cut(process, number % relay_scenario::process_count, number % 2 == 0);
+            break;
+        case 1:
+            model.pause(process, number % 2 == 0);
+            break;
+        case 2:
+            model.restart(process);
+            break;
+        case 3:
+            model.set_store_up(number % 2 == 0);
+            break;
+        case 4:
+            model.delay_heartbeats(milliseconds(100) * number);
+            break;
+        case 5:
+            model.accept(++version);
+            break;
+        default:
+            model.tick();
+            break;
+        }
+    }
+    expect_none(model.finish_without_store());
+}
+
+} // namespace parsleypitch::fault_matrix
