--- a/tests/fault_membership.cpp
+++ b/tests/fault_membership.cpp
@@ -1,8 +1,11 @@
 #include "fault_matrix.hpp"
 
+#include <parsleypitch/agent/work_gate.hpp>
 #include <parsleypitch/membership/table.hpp>
 
+#include <future>
 #include <optional>
+#include <thread>
 
 namespace parsleypitch::fault_matrix {
 
@@ -153,34 +156,78 @@
     };
 }
 
+/// Stops the agent's gate while one request is inside, and returns once new requests are refused.
+std::future<void> stop_gate(work_gate& gate, violations& seen, bool for_change) {
+    auto stopped = std::async(std::launch::async, [&gate, for_change] {
+        for_change ? gate.close_for_change(duration(0)) : gate.drain();
+    });
+    for (;;) {
+        const auto entry = gate.enter({}, [] { return false; });
+        if (!entry) {
+            report(seen, entry.error().ran != run_state::not_run, 5,
+                   "a refusal of a closed gate isn't not run");
+            return stopped;
+        }
+        gate.leave(entry.value(), {}, token_count(0));
+        std::this_thread::yield();
+    }
+}
+
+/// A drain lets the request inside finish; a change interrupts it after its limit, so that it resumes
+/// elsewhere as the cells of `answer` check.
+violations planned_stop(bool for_change) {
+    violations seen;
+    work_gate gate(request_count(4), request_count(4), [] { return time_point(std::chrono::hours(1)); });
+    const auto inside = gate.enter({}, [] { return false; });
+    auto stopped = stop_gate(gate, seen, for_change);
+    report(seen, stopped.wait_for(seconds(0)) == std::future_status::ready, for_change ? 2 : 8,
+           "a planned stop ended with a request inside");
+    report(seen, !for_change && gate.interrupting(), 8, "a drain interrupts a request");
+    gate.leave(inside.value(), {}, token_count(0));
+    stopped.get();
+    return seen;
+}
+
+/// A fault while a server drains: its agent's gate keeps what is inside, and new work stays away.
+std::function<violations()> drain_run(member_steps steps) {
+    return [steps = std::move(steps)] {
+        violations seen = member_run(steps)();
+        for (const bool for_change : {false, true}) {
+            const violations stop = planned_stop(for_change);
+            seen.insert(seen.end(), stop.begin(), stop.end());
+        }
+        return seen;
+    };
+}
+
 constexpr const char* no_lease =
     "members join and leave by heartbeats and the host list and not under the lease.";
 
 void add_drain(std::vector<cell>& cells) {
-    step_cells add(cells, step::drain, {2, 7, 8});
+    step_cells add(cells, step::drain, {2, 5, 7, 8});
     add.check(fault::killed, "the agent dies in mid-drain: no new work after 3 s",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.drain();
                   s.kill();
                   s.pass(seconds(6));
               }));
     add.check(fault::paused, "the agent pauses in mid-drain and resumes: it stays out of service",
-              member_run(drained_over({.arrives = false})));
+              drain_run(drained_over({.arrives = false})));
     add.check(fault::partitioned_one_way,
               "heartbeats of the draining agent don't arrive: silence counts as leaving",
-              member_run(drained_over({.arrives = false})));
+              drain_run(drained_over({.arrives = false})));
     add.check(fault::partitioned_both_ways,
               "the draining agent is cut off and so is the host list: silence counts as leaving",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.set_list(false);
                   drained_over({.arrives = false})(s);
               }));
     add.check(fault::answer_late,
               "the heartbeat that says leaving arrives 900 ms late: within the bound of 3 s",
-              member_run(drained_over({.delay = milliseconds(900)})));
+              drain_run(drained_over({.delay = milliseconds(900)})));
     add.check(fault::answer_lost,
               "the first heartbeat that says leaving is lost: the next one or silence counts",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.set_link({.arrives = false});
                   s.drain();
                   s.pass(seconds(1));
@@ -188,18 +235,18 @@
                   s.pass(seconds(5));
               }));
     add.check(fault::answered_twice, "every heartbeat arrives twice: the server leaves once",
-              member_run(drained_over({.copies = 2})));
+              drain_run(drained_over({.copies = 2})));
     add.check(
         fault::crossed,
         "a heartbeat from before the drain arrives after one that says leaving: the server doesn't return",
-        member_run([](membership_scenario& s) {
+        drain_run([](membership_scenario& s) {
             s.drain();
             s.pass(seconds(2));
             s.set_link({.stale = true});
             s.pass(seconds(4));
         }));
     add.check(fault::stale_read, "the host list still says live, and a digest from before the drain arrives",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.drain();
                   s.pass(seconds(2));
                   s.deliver_digest(s.born(), milliseconds(100));
@@ -207,14 +254,14 @@
               }));
     add.check(fault::store_down,
               "the platform lists the host as leaving and then fails, while heartbeats go on: no new work",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.list_as_leaving();
                   s.pass(milliseconds(500));
                   s.set_list(false);
                   s.pass(seconds(6));
               }));
     add.check(fault::store_slow, "the host list arrives late: the agent's own report counts first",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.set_list(false);
                   s.drain();
                   s.pass(seconds(5));
@@ -222,7 +269,7 @@
                   s.pass(seconds(5));
               }));
     add.check(fault::store_rate_limited, "the host list is refused by rate: the agent's own report counts",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.set_list(false);
                   s.drain();
                   s.pass(seconds(5));
@@ -230,10 +277,10 @@
     add.exclude(fault::lease_lapsed, no_lease);
     add.check(fault::engine_crash,
               "the engine crashes in mid-drain and its agent still sends heartbeats: it stays out of service",
-              member_run(drained_over({})));
+              drain_run(drained_over({})));
     add.check(fault::clock_jump,
               "the clock of the entry host jumps 10 s in mid-drain: the server stays out of service",
-              member_run([](membership_scenario& s) {
+              drain_run([](membership_scenario& s) {
                   s.drain();
                   s.pass(seconds(1));
                   s.jump(seconds(10));
--- a/tests/fault_request.cpp
+++ b/tests/fault_request.cpp
@@ -1,3 +1,4 @@
+#include "entry/claims_client.hpp"
 #include "fault_claims.hpp"
 #include "fault_matrix.hpp"
 
@@ -5,6 +6,7 @@
 #include <parsleypitch/retry/retry.hpp>
 
 #include <deque>
+#include <future>
 #include <memory>
 
 namespace parsleypitch::fault_matrix {
@@ -45,6 +47,9 @@
         set_hooks();
     }
 
+    /// The request and the hooks to run it by another front than the plain path.
+    [[nodiscard]] caller_request& request() { return m_request; }
+    [[nodiscard]] const request_hooks& hooks() const { return m_hooks; }
     /// The clock moves by `jump` while the first attempt is open.
     void jump_clock(duration jump) { m_jump = jump; }
     /// No server may be found or no time be left, so that a refusal is no violation.
@@ -236,6 +241,61 @@
     bool m_refusal_permitted = false;
 };
 
+/// The services of an entry host that owns all claim partitions, as far as a booking needs them.
+class booking_host {
+  public:
+    booking_host() {
+        const host_instance self{entry_host_id("e1"), incarnation(1)};
+        entry_settings settings;
+        settings.id = self.id;
+        settings.peers = endpoint("127.0.0.1:1");
+        detail::membership_hooks hooks;
+        hooks.fill_own = [](member&) {};
+        hooks.config_proof_age_ms = [] { return 0U; };
+        hooks.on_config_offer = [](const detail::config_offer_from&) {};
+        hooks.host_list = [] { return result<std::vector<host_entry>>(std::vector<host_entry>()); };
+        const auto membership = std::make_shared<detail::membership_service>(settings, self.born, hooks);
+        (void)m_kernel.add(std::make_shared<metrics_registry>());
+        (void)m_kernel.add(membership);
+        (void)m_kernel.add(std::make_shared<claims_service>(claims_options{
+            self, m_store.hooks(), [](unsigned) {}, [] { return wall_time(std::chrono::hours(1)); },
+            [self] { return std::vector<host_instance>{self}; }}));
+        (void)m_kernel.add(m_bookings = std::make_shared<detail::at_most_once>(self));
+        (void)m_kernel.start();
+        // The membership publishes its first view on the control thread before this task.
+        std::promise<void> published;
+        m_kernel.post_control([&published] { published.set_value(); });
+        published.get_future().wait();
+    }
+    ~booking_host() { m_kernel.stop(); }
+    booking_host(const booking_host&) = delete;
+    booking_host& operator=(const booking_host&) = delete;
+
+    /// Runs a booking under the faults and again without them.
+    violations run(const store_faults& faults, attempt_fault first) {
+        request_scenario scenario(work_kind::booking, first);
+        scenario.request().start_by = std::chrono::steady_clock::now() + std::chrono::hours(1);
+        std::get<call_work>(scenario.request().work).key = idempotency_key("k");
+        violations seen;
+        m_store.set_faults(faults);
+        const auto outcome = m_bookings->run(scenario.request(), scenario.hooks());
+        const bool refused = std::holds_alternative<refusal>(outcome);
+        report(seen, faults.down && scenario.runs() > 0, 6,
+               "a booking without a durable claim was dispatched");
+        report(seen, refused && std::get<refusal>(outcome).ran == run_state::not_run && scenario.runs() > 0,
+               5, "not run, but the booking ran");
+        m_store.set_faults({});
+        (void)m_bookings->run(scenario.request(), scenario.hooks());
+        report(seen, scenario.runs() > 1, 6, "the booking ran twice");
+        return seen;
+    }
+
+  private:
+    memory_object_store m_store;
+    kernel m_kernel{2};
+    std::shared_ptr<detail::at_most_once> m_bookings;
+};
+
 /// Runs the three kinds of work under one fault.
 std::function<violations()> all_kinds(attempt_fault first, duration jump = duration(0)) {
     return [first, jump] {
@@ -249,6 +309,8 @@
             const violations found = scenario.run();
             seen.insert(seen.end(), found.begin(), found.end());
         }
+        const violations booked = booking_host().run({}, first);
+        seen.insert(seen.end(), booked.begin(), booked.end());
         return seen;
     };
 }
@@ -258,6 +320,8 @@
     return [at_claim, at_settlement] {
         claim_scenario claims;
         violations seen = request_scenario(work_kind::generation, attempt_fault::none).run();
+        const violations booked = booking_host().run(at_claim, attempt_fault::none);
+        seen.insert(seen.end(), booked.begin(), booked.end());
         claims.set_faults(at_claim);
         const claim_reply reply = claims.claim(0);
         claims.set_faults(at_settlement);
