Measure the slopes of control costs and add docs/CAPACITY.md

parsleypitch-bench slopes measures processor time, memory and bytes of entry host and agent against simulated fleets, claims, configuration, streams and added latency, and rewrites the tables of the page.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CPP_FILES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 TIDY_FILES = $(filter %.cpp,$(CPP_FILES))
 
-.PHONY: deps build test run bench asan tsan format format-check lint proto
+.PHONY: deps build test run bench slopes asan tsan format format-check lint proto
 
 deps:
 	.ci/install
@@ -26,6 +26,10 @@
 	    --out $(BUILD)/bench/$$(basename $$file .toml).json || exit 1; \
 	done
 
+# Measures the costs of control work and rewrites the marked part of docs/CAPACITY.md.
+slopes: build
+	$(BUILD)/parsleypitch-bench slopes --out $(BUILD)/slopes.json --page docs/CAPACITY.md
+
 asan: deps
 	cmake -S . -B build-asan -G Ninja -DPARSLEYPITCH_SANITIZER=address
 	cmake --build build-asan -j $(JOBS)
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "baseline.hpp"
+#include "slopes_command.hpp"
 #include "trial.hpp"
 
 #include <parsleypitch/settings/settings.hpp>
@@ -175,7 +176,13 @@
     if (command == "up") {
         return command_up(argc - 1, argv + 1);
     }
-    std::cout << "usage: parsleypitch-bench run|up [OPTIONS]  (each has --help)\n";
+    if (command == "slopes") {
+        return command_slopes(argc - 1, argv + 1);
+    }
+    if (command == "latency") {
+        return command_latency(argc - 1, argv + 1);
+    }
+    std::cout << "usage: parsleypitch-bench run|up|slopes|latency [OPTIONS]  (each has --help)\n";
     return command == "--help" ? exit_success : exit_usage;
 }
 
