Name the entry hosts only in some replies to heartbeats

A list now goes out in the first three replies after the sender or the list changed, and every 10 s.

--- a/src/entry/membership_service.cpp
+++ b/src/entry/membership_service.cpp
@@ -3,6 +3,8 @@
 #include "wire/config_exchange.hpp"
 #include "wire/convert.hpp"
 
+#include <parsleypitch/core/hash.hpp>
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -27,7 +29,7 @@
                                        membership_hooks hooks)
     : m_settings(settings), m_born(born), m_hooks(std::move(hooks)),
       m_directory(settings.zone, settings.seeds, std::chrono::steady_clock::now()),
-      m_view(std::make_shared<const fleet_view>()), m_reply(std::make_shared<const v1::HeartbeatReply>()) {
+      m_view(std::make_shared<const fleet_view>()), m_reply(std::make_shared<const prepared_reply>()) {
 }
 
 result<void> membership_service::start(kernel& host) {
@@ -39,6 +41,10 @@
         },
         [](const endpoint&) {});
     host.every(sweep_period, [this] { publish(); });
+    host.every(heartbeat_period, [this] {
+        const std::lock_guard lock(m_listing_mutex);
+        m_listings.sweep(std::chrono::steady_clock::now());
+    });
     host.every(heartbeat_period, [this] {
         send_heartbeats();
         read_host_list();
@@ -48,7 +54,14 @@
 
 v1::HeartbeatReply membership_service::answer(const v1::HeartbeatRequest& request) {
     m_kernel->post_control([this, request] { take(request); });
-    v1::HeartbeatReply reply = *m_reply.load();
+    const std::shared_ptr<const prepared_reply> prepared = m_reply.load();
+    bool lists = false;
+    {
+        const std::lock_guard lock(m_listing_mutex);
+        lists = m_listings.is_due(request.sender().id(), incarnation(request.sender().incarnation()),
+                                  prepared->revision, std::chrono::steady_clock::now());
+    }
+    v1::HeartbeatReply reply = lists ? prepared->listing : prepared->brief;
     reply.set_config_proof_age_ms(m_hooks.config_proof_age_ms());
     return reply;
 }
@@ -177,18 +190,27 @@
     m_table.observe_heartbeat(own, now);
     m_table.sweep(now);
     m_view.store(std::make_shared<const fleet_view>(m_table.view(now)));
-    auto reply = std::make_shared<v1::HeartbeatReply>();
-    reply->set_config_version(own.config.value());
-    reply->set_highest_fencing_number(own.highest_fencing.value());
+    m_reply.store(std::make_shared<const prepared_reply>(prepare_reply(own, now)));
+}
+
+membership_service::prepared_reply membership_service::prepare_reply(const member& own,
+                                                                     time_point now) const {
+    prepared_reply prepared;
+    prepared.brief.set_config_version(own.config.value());
+    prepared.brief.set_highest_fencing_number(own.highest_fencing.value());
+    prepared.listing = prepared.brief;
     std::vector<entry_address> hosts = m_directory.answering(now);
     hosts.push_back({m_settings.id, m_settings.zone, m_settings.peers});
+    std::string content;
     for (const entry_address& host : hosts) {
-        v1::EntryHostAddress& entry = *reply->add_entry_hosts();
+        v1::EntryHostAddress& entry = *prepared.listing.add_entry_hosts();
         entry.set_id(host.id.str());
         entry.set_zone(host.zone.str());
         entry.set_address(host.address.str());
+        content += host.id.str() + ' ' + host.zone.str() + ' ' + host.address.str() + '\n';
     }
-    m_reply.store(reply);
+    prepared.revision = listing_revision(hash_bytes(content));
+    return prepared;
 }
 
 void membership_service::drain() {
--- a/src/entry/membership_service.hpp
+++ b/src/entry/membership_service.hpp
@@ -3,11 +3,13 @@
 #include "membership/heartbeat_sender.hpp"
 
 #include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/membership/listing_schedule.hpp>
 #include <parsleypitch/membership/table.hpp>
 #include <parsleypitch/settings/settings.hpp>
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 
 namespace parsleypitch::detail {
 
@@ -53,6 +55,13 @@
     [[nodiscard]] bool is_relay() const;
 
   private:
+    /// The reply to heartbeats, with and without the list of entry hosts.
+    struct prepared_reply {
+        v1::HeartbeatReply listing;
+        v1::HeartbeatReply brief;
+        listing_revision revision;
+    };
+
     void take(const v1::HeartbeatRequest& request);
     void take_reply(const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip);
     void send_heartbeats();
@@ -61,6 +70,8 @@
     void publish();
     [[nodiscard]] member own_record() const;
 
+    [[nodiscard]] prepared_reply prepare_reply(const member& own, time_point now) const;
+
     entry_settings m_settings;
     incarnation m_born;
     membership_hooks m_hooks;
@@ -70,7 +81,10 @@
     std::unique_ptr<heartbeat_sender> m_sender;
     std::map<endpoint, availability_zone_id> m_zones;
     std::atomic<std::shared_ptr<const fleet_view>> m_view;
-    std::atomic<std::shared_ptr<const v1::HeartbeatReply>> m_reply;
+    std::atomic<std::shared_ptr<const prepared_reply>> m_reply;
+    /// Guards the schedule, which the threads that answer heartbeats share.
+    std::mutex m_listing_mutex;
+    listing_schedule m_listings;
     bool m_leaving = false;
     bool m_reading_list = false;
 };
