--- a/include/parsleypitch/journal/day_rollup.hpp
+++ b/include/parsleypitch/journal/day_rollup.hpp
@@ -17,7 +17,8 @@
 
 namespace parsleypitch {
 
-/// @brief What a request was for: `model/<id>`, `service/<id>`, or `none` if it named nothing known.
+/// @brief What a request was for: `model/<id>`, `service/<id>` for calls that may not be repeated,
+/// `lookup/<id>` for calls that may, or `none` if it named nothing known.
 using work_id = string_id<struct work_id_tag>;
 /// @brief Name of an error code or of a fault, as counters have it.
 using reason_id = string_id<struct reason_id_tag>;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.hpp"
 
 #include "cli/config_command.hpp"
+#include "cli/report_command.hpp"
 #include "cli/role_commands.hpp"
 
 #include <cxxopts.hpp>
@@ -45,7 +46,7 @@
 std::vector<command> all_commands() {
     return {role_command("entry", "run an entry host", run_entry),
             role_command("agent", "run the agent beside a backend server", run_agent),
-            config_command(default_config_hooks())};
+            config_command(default_config_hooks()), report_command(default_report_hooks())};
 }
 
 } // namespace parsleypitch::cli
--- /dev/null
+++ b/src/cli/report_command.cpp
@@ -0,0 +1,134 @@
+#include "cli/report_command.hpp"
+
+#include "settings/toml_reader.hpp"
+
+#include <parsleypitch/configuration/config_store.hpp>
+#include <parsleypitch/platform/http_object_store.hpp>
+#include <parsleypitch/report/day_page.hpp>
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace parsleypitch::cli {
+
+namespace detail {
+
+struct report_options {
+    utc_day day{};
+    environment_name environment;
+    endpoint store;
+    std::string html;
+    bool json = false;
+};
+
+result<day_promises> read_promises(const object_store& store, const environment_name& name) {
+    const config_store accepted(
+        store, name, [] { return write_id("report"); }, [](unsigned) {});
+    BOOST_OUTCOME_TRY(head, accepted.read_head());
+    day_promises promises;
+    if (head.entries.empty()) {
+        return fail(errc::config_unavailable, name.str() + ": nothing was accepted");
+    }
+    BOOST_OUTCOME_TRY(bytes, accepted.read_version(head.entries.back()));
+    const parsed_environment parsed = parse_environment(bytes);
+    if (!parsed.mistakes.empty()) {
+        return parsed.mistakes.front().what;
+    }
+    for (const rank each : all_ranks) {
+        promises.floor.at(index_of(each)) = parsed.value.ranks.at(index_of(each)).floor;
+    }
+    return promises;
+}
+
+/// Time of day up to which the records of `day` are due.
+seconds due_until(utc_day day, wall_time now) {
+    return std::clamp(std::chrono::duration_cast<seconds>(now - day), seconds(0), seconds(86'400));
+}
+
+result<void> print_report(const report_command_hooks& hooks, const report_options& options) {
+    const object_store store = hooks.open_store(options.store);
+    BOOST_OUTCOME_TRY(promises, read_promises(store, options.environment));
+    BOOST_OUTCOME_TRY(day, read_day(store, options.environment, options.day));
+    const day_verdict verdict = judge_day(day, promises, due_until(options.day, hooks.wall_clock()));
+    *hooks.out << (options.json ? render_json(day, verdict) : render_text(day, verdict));
+    if (!options.html.empty()) {
+        std::ofstream file(options.html);
+        file << render_html(day, verdict);
+        if (!file.flush()) {
+            return fail(errc::unreadable_file, options.html + ": cannot be written");
+        }
+    }
+    return success();
+}
+
+/// @return what is wrong with the arguments, or an empty text
+std::string read_options(const cxxopts::ParseResult& parsed, report_options& options) {
+    for (const char* required : {"day", "env", "store"}) {
+        if (parsed.count(required) == 0) {
+            return std::string("--") + required + " is required";
+        }
+    }
+    const auto day = parse_day(parsed["day"].as<std::string>());
+    if (!day) {
+        return "expected a day YYYY-MM-DD, got " + parsed["day"].as<std::string>();
+    }
+    options.day = *day;
+    options.environment = environment_name(parsed["env"].as<std::string>());
+    options.store = endpoint(parsed["store"].as<std::string>());
+    options.html = parsed.count("html") > 0 ? parsed["html"].as<std::string>() : "";
+    options.json = parsed.count("json") > 0;
+    return parsleypitch::detail::is_endpoint(options.store.str())
+               ? ""
+               : "expected an IP number and a port such as 10.0.0.1:8080, got " + options.store.str();
+}
+
+int run_report(const report_command_hooks& hooks, const std::vector<std::string>& arguments) {
+    cxxopts::Options parser("parsleypitch report", "prints the evening page of a day");
+    const auto text = [] { return cxxopts::value<std::string>(); };
+    parser.add_options()("day", "day of UTC", text(), "YYYY-MM-DD")("env", "environment", text(), "NAME")(
+        "store", "address of the object API", text(), "IP:PORT")("html", "also write HTML", text(), "FILE")(
+        "json", "print JSON")("h,help", "print this help");
+    std::vector<const char*> argv = {"parsleypitch"};
+    for (const std::string& argument : arguments) {
+        argv.push_back(argument.c_str());
+    }
+    try {
+        const auto parsed = parser.parse(static_cast<int>(argv.size()), argv.data());
+        if (parsed.count("help") > 0) {
+            *hooks.out << parser.help();
+            return exit_success;
+        }
+        report_options options;
+        if (const std::string mistake = read_options(parsed, options); !mistake.empty()) {
+            *hooks.err << "report: " << mistake << '\n';
+            return exit_usage;
+        }
+        const auto printed = print_report(hooks, options);
+        if (!printed) {
+            *hooks.err << "report: " << to_string(printed.error()) << '\n';
+            return exit_failure;
+        }
+        return exit_success;
+    } catch (const cxxopts::exceptions::exception& problem) {
+        *hooks.err << "report: " << problem.what() << '\n';
+        return exit_usage;
+    }
+}
+
+} // namespace detail
+
+report_command_hooks default_report_hooks() {
+    return {[](const endpoint& store) { return http_object_store(store); },
+            [] { return std::chrono::system_clock::now(); }, &std::cout, &std::cerr};
+}
+
+command report_command(report_command_hooks hooks) {
+    return {"report", "prints the evening page of a day",
+            [hooks = std::move(hooks)](const std::vector<std::string>& arguments) {
+                return detail::run_report(hooks, arguments);
+            }};
+}
+
+} // namespace parsleypitch::cli
