--- a/src/agent/backend_monitor.cpp
+++ b/src/agent/backend_monitor.cpp
@@ -15,24 +15,34 @@
 } // namespace
 
 backend_monitor::backend_monitor(const agent_settings& settings, backend_hooks backend,
-                                 std::shared_ptr<work_gate> gate, incarnation born)
+                                 std::shared_ptr<work_gate> gate, incarnation born,
+                                 heartbeat_sender::reply_hook on_reply)
     : m_settings(settings), m_backend(std::move(backend)), m_gate(std::move(gate)), m_born(born),
+      m_on_reply(std::move(on_reply)),
       m_directory(settings.zone, settings.seeds, std::chrono::steady_clock::now()),
       m_snapshot(std::make_shared<const backend_snapshot>()) {
 }
 
 result<void> backend_monitor::start(kernel& host) {
     m_kernel = &host;
+    if (auto orders = host.find<order_service>(service_name("orders"))) {
+        m_orders = std::move(orders.value());
+    }
     m_sender = std::make_unique<heartbeat_sender>(
         host,
-        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration) {
+        [this](const endpoint& from, const v1::HeartbeatReply& reply, duration round_trip) {
             const time_point now = std::chrono::steady_clock::now();
             for (const v1::EntryHostAddress& each : reply.entry_hosts()) {
                 m_directory.learn(
                     {entry_host_id(each.id()), availability_zone_id(each.zone()), endpoint(each.address())},
                     now);
+                // Terms of other zones are numbered on their own and mean nothing here.
+                if (m_orders && endpoint(each.address()) == from && each.zone() == m_settings.zone.str()) {
+                    m_orders->learn_from_peer(fencing_number(reply.highest_fencing_number()));
+                }
             }
             m_directory.answered(from, now);
+            m_on_reply(from, reply, round_trip);
         },
         [](const endpoint&) {});
     host.every(poll_period, [this] { poll(); });
@@ -95,6 +105,7 @@
     record.load = load();
     record.engine = snapshot->status.engine;
     record.plain_service = m_settings.plain_service;
+    record.highest_fencing = m_orders ? m_orders->highest() : fencing_number(0);
     return record;
 }
 
