--- a/include/parsleypitch/planner/demand_forecast.hpp
+++ b/include/parsleypitch/planner/demand_forecast.hpp
@@ -9,10 +9,13 @@
 
 /// @brief Time constants of the averages of demand.
 struct forecast_policy {
-    duration fast{seconds(8)};
+    duration fast{seconds(6)};
     duration slow{seconds(40)};
     /// @brief Share of the difference between fast and slow average by which demand is expected to move on.
     double trend = 0.5;
+    /// @brief Standard errors by which the fast average has to leave the slow one to count as a shift; at 4 a
+    /// steady mix with noise rarely does.
+    double shift_threshold = 4;
 };
 
 /// @brief Fast and slow averages of the demand for one model.
@@ -25,7 +28,10 @@
 
     [[nodiscard]] const token_demand& fast() const { return m_fast; }
     [[nodiscard]] const token_demand& slow() const { return m_slow; }
-    /// @brief The demand expected within the horizon of a plan.
+    /// @brief Whether the fast average differs from the slow one by more than the noise of the samples.
+    [[nodiscard]] bool shifting() const;
+    /// @brief The demand expected within the horizon of a plan: the slow average of a steady mix, or the fast
+    /// one moved on by the trend during a shift.
     [[nodiscard]] token_demand expected() const;
     /// @brief Time over which demand was observed.
     [[nodiscard]] duration observed() const;
@@ -36,6 +42,10 @@
     forecast_policy m_policy;
     token_demand m_fast;
     token_demand m_slow;
+    token_demand m_last_seen;
+    /// Mean squares of the differences between successive samples, which a shift hardly raises.
+    token_demand m_squares;
+    duration m_interval{0};
     std::optional<time_point> m_first;
     time_point m_last;
 };
--- a/include/parsleypitch/planner/role_planner.hpp
+++ b/include/parsleypitch/planner/role_planner.hpp
@@ -23,7 +23,7 @@
     /// @brief Time for which an engine serves nothing during a change: emptying it and the change itself.
     duration change_cost{seconds(6)};
     /// @brief Share by which the greatest utilisation has to fall, and by which the gain exceeds the cost.
-    double margin = 0.15;
+    double margin = 0.1;
     /// @brief Share by which the utilisation has to fall to go on with a series of changes that has begun;
     /// stopping at `margin` could leave more than the 5% of goodput that a shift may cost.
     double completion_margin = 0.03;
@@ -37,8 +37,9 @@
     duration silence_limit{seconds(10)};
     /// @brief Time for which a model's engines are left alone after a series of changes or a failed order.
     duration quiet_time{seconds(10)};
-    /// @brief Time over which demand must have been observed before the first change.
-    duration warm_up{seconds(10)};
+    /// @brief Time over which demand must have been observed before the first change; the mean of 10 s still
+    /// strayed by 8% under noise of 25% per second.
+    duration warm_up{seconds(30)};
 };
 
 /// @brief Model, version and adapters that the environment document wants on an engine.
@@ -99,6 +100,7 @@
 struct planned_order {
     backend_server_id engine;
     model_id model;
+    engine_role from = engine_role::mixed;
     engine_state target;
     order_reason reason = order_reason::better_split;
     /// @brief Engine time saved over the horizon; 0 for `restore_model`.
@@ -145,6 +147,7 @@
         bool order_in_progress = false;
         /// A change of role was made and the best split is not reached yet.
         bool in_series = false;
+        std::optional<role_step> last_step;
         unsigned confirmed = 0;
     };
     using engine_list = std::vector<const engine_report*>;
--- a/include/parsleypitch/planner/role_split.hpp
+++ b/include/parsleypitch/planner/role_split.hpp
@@ -27,12 +27,13 @@
 
 /// @brief Rates of one engine of a model.
 struct engine_capacity {
-    /// @brief Prompt tokens that an engine computes in a second if it does nothing else.
-    double prefill_tokens_per_second = 50'000;
-    /// @brief Output tokens that an engine generates in a second if it does nothing else.
+    /// @brief Prompt tokens that a prefill engine computes in a second.
+    double prefill_tokens_per_second = 70'000;
+    /// @brief Output tokens that a decode engine generates in a second.
     double decode_tokens_per_second = 4'000;
-    /// @brief Share by which prompts and decoding slow each other down in an engine that does both.
-    double mixed_interference = 0.25;
+    /// @brief Share by which prompts take more engine time in a mixed engine, which computes them in smaller
+    /// chunks between the steps of running streams.
+    double mixed_interference = 0.4;
 };
 
 /// @brief Token rates that requests of one model ask for.
--- a/src/entry/order_client.cpp
+++ b/src/entry/order_client.cpp
@@ -53,7 +53,7 @@
             stub = known.get();
             open.insert(&context);
         }
-        const grpc::Status status = call(*stub, context);
+        grpc::Status status = call(*stub, context);
         const std::lock_guard lock(mutex);
         open.erase(&context);
         return status;
--- a/src/planner/role_planner.cpp
+++ b/src/planner/role_planner.cpp
@@ -151,6 +151,7 @@
     const engine_report& engine = **found;
     return planned_order{engine.id,
                          {},
+                         engine.state.role,
                          detail::target_of(engine.state, *engine.wanted),
                          order_reason::restore_model,
                          duration::zero(),
@@ -213,7 +214,9 @@
     if (plan.best == plan.now) {
         return idle_reason::split_is_best;
     }
-    const double margin = state.in_series ? m_policy.completion_margin : m_policy.margin;
+    const auto step = next_step(plan.now, plan.best, state.forecast.expected(), m_policy.capacity);
+    const bool reverses = step && state.last_step == role_step{step->to, step->from};
+    const double margin = state.in_series && !reverses ? m_policy.completion_margin : m_policy.margin;
     if (plan.utilisation_best > plan.utilisation_now * (1 - margin)) {
         return idle_reason::gain_too_small;
     }
@@ -239,7 +242,11 @@
             least_loaded = engine;
         }
     }
-    planned_order order{least_loaded->id, {}, least_loaded->state, order_reason::better_split, {}, {}};
+    if (least_loaded == nullptr) {
+        return idle_reason::no_safe_step;
+    }
+    planned_order order{least_loaded->id,           {}, step->from, least_loaded->state,
+                        order_reason::better_split, {}, {}};
     order.target.role = step->to;
     // Utilisation is capped, because with no server at all it is infinite.
     constexpr double most_utilisation = 10;
@@ -264,6 +271,8 @@
         m_load_in_progress = false;
     }
     state.in_series = applied && order.reason == order_reason::better_split;
+    state.last_step =
+        state.in_series ? std::optional(role_step{order.from, order.target.role}) : std::nullopt;
     if (!applied || order.reason == order_reason::better_split) {
         state.quiet_until = now + m_policy.quiet_time;
     }
--- a/src/planner/role_split.cpp
+++ b/src/planner/role_split.cpp
@@ -57,7 +57,7 @@
     if (split.mixed == 0 && !separated) {
         return std::numeric_limits<double>::infinity();
     }
-    const double both = (prefill + decode) * (1 + capacity.mixed_interference);
+    const double both = prefill * (1 + capacity.mixed_interference) + decode;
     double served = split.mixed > 0 ? detail::supply(split.mixed, both) : 0;
     if (separated) {
         served += std::min(detail::supply(split.prefill, prefill), detail::supply(split.decode, decode));
--- a/tests/unit-planner.cpp
+++ b/tests/unit-planner.cpp
@@ -45,6 +45,8 @@
         role_plan made = m_planner.plan(m_input, m_now);
         if (made.order) {
             ++m_orders;
+            m_steps += std::string(to_string(made.order->from)) + " to " +
+                       std::string(to_string(made.order->target.role)) + "; ";
             m_running = made.order;
             m_planner.started(*made.order);
             m_done_at = m_now + m_change;
@@ -114,6 +116,7 @@
     time_point m_done_at;
     std::optional<planned_order> m_running;
     unsigned m_orders = 0;
+    std::string m_steps;
     bool m_reports_arrive = true;
 };
 
@@ -121,7 +124,7 @@
 TEST_F(role_planner_fixture, utilisation_of_a_role_without_its_counterpart_is_not_counted) {
     const engine_capacity& capacity = m_policy.capacity;
     EXPECT_TRUE(std::isinf(greatest_utilisation({0, 12, 0}, even(), capacity)));
-    EXPECT_DOUBLE_EQ(greatest_utilisation({10, 2, 0}, even(), capacity), 1.0);
+    EXPECT_NEAR(greatest_utilisation({10, 2, 0}, even(), capacity), (4 * 1.4 + 4) / 10, 1e-9);
     EXPECT_NEAR(greatest_utilisation({0, 6, 6}, even(), capacity), 8.0 / 12, 1e-9);
     EXPECT_FALSE(reachable({2, 0, 0}, {0, 1, 1}, even(), capacity));
     EXPECT_TRUE(reachable({3, 0, 0}, {0, 1, 2}, even(), capacity));
@@ -152,11 +155,13 @@
     for (int i = 0; i < 900; ++i) {
         second(scaled(even(), 0.5 * draw(), 1.5 * draw()));
     }
-    EXPECT_LE(m_orders, 3U);
+    EXPECT_LE(m_orders, 3U) << m_steps;
     EXPECT_LE(greatest_utilisation(split(), scaled(even(), 0.5, 1.5), m_policy.capacity), 8.0 / 12 / 0.85);
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, role_planner_noise_fixture, testing::Values(1U, 2U, 3U, 4U, 5U));
+// Found by a trial over seeds 1 to 299; see KNOWN-RED.txt.
+INSTANTIATE_TEST_SUITE_P(rare_seeds, role_planner_noise_fixture, testing::Values(38U, 168U, 169U));
 
 // Guards against more changes for one lasting shift than the engines that it needs.
 TEST_F(role_planner_fixture, lasting_shift_changes_only_the_engines_that_it_needs) {
@@ -216,8 +221,9 @@
 // Guards against a second change that is decided on reports from before the first one.
 TEST_F(role_planner_fixture, reports_measured_before_a_change_give_no_change) {
     start({0, 6, 6});
-    run(even(), 15);
-    planned_order order{backend_server_id("e0"), drafts, m_input.engines[0].state, {}, {}, {}};
+    run(even(), 35);
+    planned_order order{
+        backend_server_id("e0"), drafts, engine_role::prefill, m_input.engines[0].state, {}, {}, {}};
     m_planner.started(order);
     EXPECT_EQ(m_planner.plan(m_input, m_now).models[0].idle, idle_reason::change_in_progress);
     m_planner.ended(order, true, m_now);
