--- a/src/planner/role_planner.cpp
+++ b/src/planner/role_planner.cpp
@@ -16,6 +16,13 @@
     return engine.wanted && !reached(engine.state, target_of(engine.state, *engine.wanted));
 }
 
+/// Whether two changes belong to one shift: the same change again, or both from or both to mixed engines.
+bool same_direction(const role_step& last, const role_step& next) {
+    const bool separating = last.from == engine_role::mixed && next.from == engine_role::mixed;
+    const bool merging = last.to == engine_role::mixed && next.to == engine_role::mixed;
+    return last == next || separating || merging;
+}
+
 role_split split_of(const std::vector<const engine_report*>& engines) {
     role_split split;
     for (const engine_report* engine : engines) {
@@ -215,8 +222,8 @@
         return idle_reason::split_is_best;
     }
     const auto step = next_step(plan.now, plan.best, state.forecast.expected(), m_policy.capacity);
-    const bool reverses = step && state.last_step == role_step{step->to, step->from};
-    const double margin = state.in_series && !reverses ? m_policy.completion_margin : m_policy.margin;
+    const bool continues = state.in_series && step && detail::same_direction(*state.last_step, *step);
+    const double margin = continues ? m_policy.completion_margin : m_policy.margin;
     if (plan.utilisation_best > plan.utilisation_now * (1 - margin)) {
         return idle_reason::gain_too_small;
     }
--- a/tests/unit-planner.cpp
+++ b/tests/unit-planner.cpp
@@ -160,7 +160,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, role_planner_noise_fixture, testing::Values(1U, 2U, 3U, 4U, 5U));
-// Found by a trial over seeds 1 to 299; see KNOWN-RED.txt.
+// Seeds with which a series of changes once went on in another direction, found by a trial over 1 to 299.
 INSTANTIATE_TEST_SUITE_P(rare_seeds, role_planner_noise_fixture, testing::Values(38U, 168U, 169U));
 
 // Guards against more changes for one lasting shift than the engines that it needs.
