--- a/src/planner/role_planner.cpp
+++ b/src/planner/role_planner.cpp
@@ -16,6 +16,13 @@
     return engine.wanted && !reached(engine.state, target_of(engine.state, *engine.wanted));
 }
 
+/// Whether two changes belong to one shift: the same change again, or both from or both to mixed engines.
+bool same_direction(const role_step& last, const role_step& next) {
+    const bool separating = last.from == engine_role::mixed && next.from == engine_role::mixed;
+    const bool merging = last.to == engine_role::mixed && next.to == engine_role::mixed;
+    return last == next || separating || merging;
+}
+
 role_split split_of(const std::vector<const engine_report*>& engines) {
     role_split split;
     for (const engine_report* engine : engines) {
@@ -151,6 +158,7 @@
     const engine_report& engine = **found;
     return planned_order{engine.id,
                          {},
+                         engine.state.role,
                          detail::target_of(engine.state, *engine.wanted),
                          order_reason::restore_model,
                          duration::zero(),
@@ -213,7 +221,9 @@
     if (plan.best == plan.now) {
         return idle_reason::split_is_best;
     }
-    const double margin = state.in_series ? m_policy.completion_margin : m_policy.margin;
+    const auto step = next_step(plan.now, plan.best, state.forecast.expected(), m_policy.capacity);
+    const bool continues = state.in_series && step && detail::same_direction(*state.last_step, *step);
+    const double margin = continues ? m_policy.completion_margin : m_policy.margin;
     if (plan.utilisation_best > plan.utilisation_now * (1 - margin)) {
         return idle_reason::gain_too_small;
     }
@@ -239,7 +249,11 @@
             least_loaded = engine;
         }
     }
-    planned_order order{least_loaded->id, {}, least_loaded->state, order_reason::better_split, {}, {}};
+    if (least_loaded == nullptr) {
+        return idle_reason::no_safe_step;
+    }
+    planned_order order{least_loaded->id,           {}, step->from, least_loaded->state,
+                        order_reason::better_split, {}, {}};
     order.target.role = step->to;
     // Utilisation is capped, because with no server at all it is infinite.
     constexpr double most_utilisation = 10;
@@ -264,6 +278,8 @@
         m_load_in_progress = false;
     }
     state.in_series = applied && order.reason == order_reason::better_split;
+    state.last_step =
+        state.in_series ? std::optional(role_step{order.from, order.target.role}) : std::nullopt;
     if (!applied || order.reason == order_reason::better_split) {
         state.quiet_until = now + m_policy.quiet_time;
     }
