--- a/tests/fault_config.hpp
+++ b/tests/fault_config.hpp
@@ -133,6 +133,7 @@
         m_processes.at(to).peer_answered(endpoint("p1"), config_version(version));
         // A fetch that began before a later version was known ends now.
         (void)m_processes.at(to).take_content(config_version(version));
+        check();
         fetch(m_processes.at(to));
     }
 
--- a/tests/fault_lease.cpp
+++ b/tests/fault_lease.cpp
@@ -8,6 +8,9 @@
 
 const object_key lease_object("lease/authority");
 constexpr milliseconds lease_step{100};
+/// The first candidate reads at 100 ms, acquires one read period later and renews two seconds after that.
+constexpr milliseconds before_acquisition{1000};
+constexpr milliseconds before_renewal = before_acquisition + lease_renewal_period;
 
 result<write_history> history_of(const std::string& bytes) {
     auto value = detail::decode_lease(bytes);
@@ -193,7 +196,7 @@
     };
 }
 
-/// The cells of acquisition (no time before the faults) and renewal (the first term is held).
+/// The cells of one write of the lease, which comes one step after `lead`.
 void add_lease_step(std::vector<cell>& cells, step where, milliseconds lead) {
     step_cells add(cells, where, {1, 3});
     const lease_steps nothing = [](lease_scenario&) {};
@@ -258,17 +261,25 @@
     add.check(fault::clock_jump,
               "the candidates' clocks are an hour apart and one runs 20% fast: no takeover while the holder "
               "may act",
-              lease_run(under_holder(
-                            lead, [](lease_scenario& s) { s.partition(0, false, false); },
-                            [](lease_scenario& s) { s.heal(0); }),
-                        std::chrono::hours(1), 1.2));
+              lease_run(
+                  [lead](lease_scenario& s) {
+                      // The other candidate sees the lease only right after this write, and then waits least.
+                      s.pause(1, true);
+                      s.pass(lead + milliseconds(100));
+                      s.pause(1, false);
+                      s.partition(0, false, false);
+                      s.pass(seconds(12));
+                      s.expect_lost(0);
+                      s.expect_holder();
+                  },
+                  std::chrono::hours(1), 1.2));
 }
 
 } // namespace
 
 void add_lease_cells(std::vector<cell>& cells) {
-    add_lease_step(cells, step::lease_acquisition, milliseconds(0));
-    add_lease_step(cells, step::lease_renewal, milliseconds(2000));
+    add_lease_step(cells, step::lease_acquisition, before_acquisition);
+    add_lease_step(cells, step::lease_renewal, before_renewal);
 }
 
 } // namespace parsleypitch::fault_matrix
--- a/tests/fault_orders.cpp
+++ b/tests/fault_orders.cpp
@@ -118,6 +118,7 @@
 }
 
 violations order_scenario::finish() {
+    while_draining = before_write = after_write = nullptr;
     m_crashed = drop_write = lose_write_answer = crash_on_write = false;
     failing_reads = stale_reads = 0;
     effect_delay = read_delay = milliseconds(0);
--- a/tests/unit-fault-sequences.cpp
+++ b/tests/unit-fault-sequences.cpp
@@ -1,6 +1,7 @@
 #include "fault_claims.hpp"
 #include "fault_config.hpp"
 #include "fault_lease.hpp"
+#include "fault_orders.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -130,6 +131,34 @@
     }
 }
 
+// Guards against conflicting orders after faults at two orders in a row or at an order and the agent.
+TEST_F(fault_pairs_fixture, orders_with_two_faults_in_a_row_never_conflict) {
+    const std::vector<std::pair<const char*, std::function<void(order_scenario&)>>> faults = {
+        {"none", [](order_scenario&) {}},
+        {"write lost", [](order_scenario& s) { s.drop_write = s.lose_write_answer = true; }},
+        {"answer lost", [](order_scenario& s) { s.lose_write_answer = true; }},
+        {"write late", [](order_scenario& s) { s.effect_delay = milliseconds(900); }},
+        {"engine crash", [](order_scenario& s) { s.crash_on_write = true; }},
+        {"reads lost", [](order_scenario& s) { s.after_write = [&s] { s.failing_reads = 100; }; }},
+        {"agent killed", [](order_scenario& s) { s.start_agent(); }},
+        {"fenced in drain", [](order_scenario& s) { s.while_draining = [&s] { s.fence_during_order(2); }; }},
+        {"fenced in write", [](order_scenario& s) { s.before_write = [&s] { s.fence_during_order(3); }; }},
+    };
+    for (const auto& [first_name, first] : faults) {
+        for (const auto& [second_name, second] : faults) {
+            order_scenario model;
+            model.make_ready();
+            (void)model.fence(1);
+            first(model);
+            (void)model.order(1, "a");
+            model.restart_engine();
+            second(model);
+            (void)model.order(1, "b", engine_role::decode);
+            EXPECT_EQ(all_of(model.finish()), "") << first_name << ", then " << second_name;
+        }
+    }
+}
+
 void expect_none(const violations& seen) {
     if (!seen.empty()) {
         RC_FAIL(all_of(seen));
