--- a/bench/slopes_peers.cpp
+++ b/bench/slopes_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/convert.hpp"
 
+#include <parsleypitch/membership/listing_schedule.hpp>
 #include <parsleypitch/membership/table.hpp>
 
 #include <grpcpp/grpcpp.h>
@@ -57,9 +58,15 @@
         }
     }
 
-    grpc::ServerUnaryReactor* Heartbeat(grpc::CallbackServerContext* context, const v1::HeartbeatRequest*,
+    grpc::ServerUnaryReactor* Heartbeat(grpc::CallbackServerContext* context,
+                                        const v1::HeartbeatRequest* request,
                                         v1::HeartbeatReply* reply) override {
-        *reply = m_reply;
+        const std::lock_guard lock(m_mutex);
+        // A sender has one connection to each simulated host, so the connection stands for the pair.
+        if (m_listings.is_due(context->peer(), incarnation(request->sender().incarnation()),
+                              listing_revision(1), std::chrono::steady_clock::now())) {
+            *reply = m_reply;
+        }
         grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
         reactor->Finish(grpc::Status::OK);
         return reactor;
@@ -67,6 +74,8 @@
 
   private:
     v1::HeartbeatReply m_reply;
+    std::mutex m_mutex;
+    listing_schedule m_listings;
 };
 
 simulated_hosts::simulated_hosts() = default;
