Keep up to 16 threads of a gRPC server waiting for calls

Cause: with the default of 2, a thread that ends its call while others wait exits, and the next calls start new threads.

--- a/src/net/grpc_server.cpp
+++ b/src/net/grpc_server.cpp
@@ -8,6 +8,9 @@
 // A host that comes back must be found within the 3 s bound for membership.
 constexpr int max_reconnect_ms = 1000;
 constexpr int min_reconnect_ms = 100;
+// A thread that ends its call while more threads than this wait for calls exits, and a later call starts a
+// new one.
+constexpr int max_pollers = 16;
 
 } // namespace
 
@@ -20,6 +23,7 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddListeningPort(listen.str(), grpc::InsecureServerCredentials(), &port);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, max_pollers);
     grpc::ResourceQuota quota;
     quota.SetMaxThreads(max_threads);
     builder.SetResourceQuota(quota);
