--- a/include/parsleypitch/core/error.hpp
+++ b/include/parsleypitch/core/error.hpp
@@ -30,6 +30,7 @@
     claims_unavailable = 120,
     queue_full = 121,
     configuration_unproven = 122,
+    unknown_request = 123,
     // 2xx: settings and documents
     unreadable_file = 201,
     malformed_document = 202,
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -3,6 +3,7 @@
 #include "cli/config_command.hpp"
 #include "cli/report_command.hpp"
 #include "cli/role_commands.hpp"
+#include "cli/status_command.hpp"
 
 #include <cxxopts.hpp>
 
@@ -46,7 +47,10 @@
 std::vector<command> all_commands() {
     return {role_command("entry", "run an entry host", run_entry),
             role_command("agent", "run the agent beside a backend server", run_agent),
-            config_command(default_config_hooks()), report_command(default_report_hooks())};
+            config_command(default_config_hooks()),
+            status_command(default_status_hooks()),
+            explain_command(default_status_hooks()),
+            report_command(default_report_hooks())};
 }
 
 } // namespace parsleypitch::cli
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -52,6 +52,8 @@
         return "queue_full";
     case errc::configuration_unproven:
         return "configuration_unproven";
+    case errc::unknown_request:
+        return "unknown_request";
     case errc::unreadable_file:
         return "unreadable_file";
     case errc::malformed_document:
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/authority_parts.hpp"
 #include "entry/claims_client.hpp"
+#include "entry/journal_wiring.hpp"
 #include "entry/membership_service.hpp"
 #include "entry/peer_server.hpp"
 #include "entry/traffic_service.hpp"
@@ -30,6 +31,7 @@
     std::shared_ptr<peer_server> peers;
     std::shared_ptr<front_end> callers;
     std::shared_ptr<authority_service> authority;
+    std::shared_ptr<entry_journal> journal;
 };
 
 /// Keeps the struct through which hooks refer to services for as long as the kernel keeps the services.
@@ -96,6 +98,9 @@
     hooks.settle = [parts = parts.get()](const v1::SettleRequest& request) {
         return answer_settle(*parts->claims, request);
     };
+    hooks.status = [parts = parts.get()](const v1::StatusRequest& request) {
+        return parts->journal->status(request);
+    };
     return hooks;
 }
 
@@ -155,14 +160,24 @@
     }
 }
 
+std::shared_ptr<const environment> environment_of(const entry_parts& parts) {
+    const adopted_snapshot adopted = parts.configuration->current();
+    return adopted ? std::shared_ptr<const environment>(adopted, &adopted->value) : nullptr;
+}
+
+journal_sources make_journal_sources(const std::shared_ptr<entry_parts>& parts) {
+    journal_sources sources;
+    sources.inner = [parts = parts.get()]() -> const request_hooks& { return parts->traffic->hooks(); };
+    sources.environment_now = [parts = parts.get()] { return environment_of(*parts); };
+    sources.view = [parts = parts.get()] { return parts->membership->view(); };
+    return sources;
+}
+
 front_end_hooks make_front_end_hooks(const entry_settings& settings, incarnation born,
                                      const std::shared_ptr<entry_parts>& parts) {
     front_end_hooks hooks;
     hooks.clock = steady_clock_hook();
-    hooks.current_environment = [parts = parts.get()]() -> std::shared_ptr<const environment> {
-        const adopted_snapshot adopted = parts->configuration->current();
-        return adopted ? std::shared_ptr<const environment>(adopted, &adopted->value) : nullptr;
-    };
+    hooks.current_environment = [parts = parts.get()] { return environment_of(*parts); };
     hooks.health = [parts = parts.get()] { return health_of(*parts); };
     hooks.new_request_id = request_id_source(settings, born);
     hooks.admit = [parts = parts.get()](const caller_request& request) {
@@ -171,13 +186,14 @@
     hooks.ended = [parts = parts.get()](const caller_request& request) { parts->traffic->ended(request); };
     hooks.call = [parts = parts.get()](const caller_request& request) -> std::variant<plain_answer, refusal> {
         if (!std::get<call_work>(request.work).repeatable) {
-            return parts->at_most_once->run(request, parts->traffic->hooks());
+            return parts->at_most_once->run(request, parts->journal->observed());
         }
-        return run_call(request, parts->traffic->hooks());
+        return run_call(request, parts->journal->observed());
     };
-    hooks.attempts = &parts->traffic->hooks();
+    hooks.attempts = &parts->journal->observed();
     hooks.on_end = [parts = parts.get()](const caller_request& request, const request_outcome& outcome) {
         record_end(*parts->metrics, request, outcome);
+        parts->journal->ended(request, outcome);
     };
     hooks.metrics = [parts = parts.get()] { return parts->metrics->exposition(); };
     return hooks;
@@ -194,6 +210,7 @@
     parts->traffic = std::make_shared<traffic_service>(settings);
     parts->claims = make_claims(settings, born, parts);
     parts->at_most_once = std::make_shared<at_most_once>(host_instance{settings.id, born});
+    parts->journal = std::make_shared<entry_journal>(settings, born, make_journal_sources(parts));
     parts->peers = std::make_shared<peer_server>(settings.peers, make_peer_hooks(parts));
     const authority_sources sources{*parts->membership, *parts->configuration};
     parts->authority = make_authority(settings, born, sources);
@@ -202,6 +219,7 @@
     BOOST_OUTCOME_TRY(host.add(parts->metrics));
     BOOST_OUTCOME_TRY(host.add(parts->configuration));
     BOOST_OUTCOME_TRY(host.add(parts->membership));
+    BOOST_OUTCOME_TRY(host.add(parts->journal->recorder()));
     BOOST_OUTCOME_TRY(host.add(parts->traffic));
     BOOST_OUTCOME_TRY(host.add(parts->claims));
     BOOST_OUTCOME_TRY(host.add(parts->at_most_once));
--- /dev/null
+++ b/src/entry/journal_wiring.cpp
@@ -0,0 +1,163 @@
+#include "entry/journal_wiring.hpp"
+
+#include "entry/status_json.hpp"
+#include "lease/lease_codec.hpp"
+
+#include <parsleypitch/platform/http_object_store.hpp>
+
+#include <thread>
+
+namespace parsleypitch::detail {
+
+namespace {
+
+wall_time wall_now() {
+    return std::chrono::system_clock::now();
+}
+
+engine_counts count_engines(const fleet_view& view) {
+    engine_counts counts{};
+    for (const member& each : view.members) {
+        if (each.kind == member_kind::engine && each.health == member_health::live) {
+            ++counts.at(static_cast<std::size_t>(each.engine.role));
+        }
+    }
+    return counts;
+}
+
+/// What the choice of a server tells about its reasons.
+std::string why_chosen(const route_question& question, const route& chosen) {
+    std::string why = question.resume_from > token_index()
+                          ? "resumes at token " + std::to_string(question.resume_from.value())
+                          : std::string("least expected cost among the candidates");
+    for (const std::string& server : question.excluded) {
+        why += ", not " + server + " that failed";
+    }
+    if (!question.kv_source.empty()) {
+        why += ", KV cache from " + question.kv_source.str();
+    }
+    return chosen.prefill_only ? why + ", computes the prompt only" : why;
+}
+
+journal_options options_of(const entry_settings& settings, incarnation born, const journal_sources& sources) {
+    journal_options options;
+    options.writer = {http_object_store(settings.platform.objects),
+                      settings.environment,
+                      settings.id,
+                      born,
+                      settings.zone,
+                      wall_now()};
+    options.wall_clock = wall_now;
+    options.clock = steady_clock_hook();
+    options.back_off = [](unsigned attempt) { std::this_thread::sleep_for(milliseconds(100) * attempt); };
+    options.engines = [view = sources.view] { return count_engines(*view()); };
+    return options;
+}
+
+} // namespace
+
+entry_journal::entry_journal(const entry_settings& settings, incarnation born, journal_sources sources)
+    : m_settings(settings), m_sources(std::move(sources)),
+      m_store(http_object_store(settings.platform.objects)),
+      m_recorder(std::make_shared<journal_service>(options_of(settings, born, m_sources))) {
+    observe();
+}
+
+void entry_journal::observe() {
+    m_observed.clock = steady_clock_hook();
+    m_observed.execute = [this](const endpoint& agent, const execute_request& request) {
+        return m_sources.inner().execute(agent, request);
+    };
+    m_observed.sleep = [this](duration wait) { m_sources.inner().sleep(wait); };
+    m_observed.choose = [this](const route_question& question) {
+        auto chosen = m_sources.inner().choose(question);
+        if (chosen) {
+            m_traces.begin_attempt(question.request.id, cell_of(question.request),
+                                   backend_server_id(chosen.value().server),
+                                   why_chosen(question, chosen.value()), m_observed.clock(), wall_now());
+        }
+        return chosen;
+    };
+    m_observed.on_attempt = [this](const caller_request& request, const route& chosen) {
+        m_sources.inner().on_attempt(request, chosen);
+    };
+    m_observed.on_attempt_end = [this](const caller_request& request, const route& chosen,
+                                       const std::optional<load_report>& load, duration took) {
+        m_traces.end_attempt(request.id, m_observed.clock());
+        m_sources.inner().on_attempt_end(request, chosen, load, took);
+    };
+    m_observed.on_failure = [this](const route& chosen, const error& why) {
+        m_recorder->record(fault_note{reason_id(reason_name(why.code))});
+        m_sources.inner().on_failure(chosen, why);
+    };
+    m_observed.may_retry = [this](const retry_question& question) {
+        auto wait = m_sources.inner().may_retry(question);
+        m_traces.fail_attempt(question.request.id, question.why,
+                              wait ? std::optional<duration>(wait.value()) : std::nullopt);
+        if (wait) {
+            m_recorder->record(
+                retry_note{cell_of(question.request), reason_id(reason_name(question.why.code))});
+        }
+        return wait;
+    };
+}
+
+cell_key entry_journal::cell_of(const caller_request& request) const {
+    work_id work = no_work();
+    if (const auto* generate = std::get_if<generate_work>(&request.work)) {
+        work = generate->model.empty() ? no_work() : work_id("model/" + generate->model.str());
+    } else {
+        const auto& call = std::get<call_work>(request.work);
+        work = work_id((call.repeatable ? "lookup/" : "service/") + call.plain_service.str());
+    }
+    return {request.priority, work, m_settings.zone};
+}
+
+request_end entry_journal::end_of(const caller_request& request, const request_outcome& outcome) const {
+    request_end end;
+    end.id = request.id;
+    end.cell = cell_of(request);
+    end.caller_gone = outcome.caller_gone;
+    end.first_answer = outcome.first_answer;
+    end.between_tokens = outcome.between_tokens;
+    end.output_tokens = outcome.tokens;
+    if (outcome.refused) {
+        end.refused = reason_id(reason_name(outcome.refused->why.code));
+        end.ran = outcome.refused->ran;
+    }
+    if (const auto* generate = std::get_if<generate_work>(&request.work)) {
+        end.prompt_tokens = generate->prompt_tokens;
+    } else {
+        end.repeatable = std::get<call_work>(request.work).repeatable;
+    }
+    if (const auto env = m_sources.environment_now()) {
+        const rank_policy& policy = env->ranks.at(index_of(request.priority));
+        end.target = policy.target;
+        end.between_target = policy.between_tokens;
+    }
+    return end;
+}
+
+void entry_journal::ended(const caller_request& request, const request_outcome& outcome) {
+    request_end end = end_of(request, outcome);
+    end.attempts = m_traces.end(end, outcome.total, outcome.refused ? to_string(outcome.refused->why) : "",
+                                m_observed.clock(), wall_now());
+    m_recorder->record(std::move(end));
+}
+
+v1::StatusReply entry_journal::status(const v1::StatusRequest& request) const {
+    v1::StatusReply reply;
+    if (!request.request_id().empty()) {
+        const request_id id(request.request_id());
+        const auto trace = m_traces.find(id);
+        reply.set_json(trace ? encode_trace(m_settings.id, *trace)
+                             : encode_unknown_request(m_settings.id, id, m_traces.oldest()));
+        return reply;
+    }
+    const auto stored = m_store.get(object_key("lease/authority"));
+    auto lease = stored ? decode_lease(stored.value().bytes) : result<lease_value>(stored.error());
+    reply.set_json(encode_status(m_settings, *m_sources.view(), lease, m_sources.planner_snapshot()));
+    return reply;
+}
+
+} // namespace parsleypitch::detail
