Allow 2,048 open requests at an entry host

At the target size an entry host carries 580 live streams, often of one rank; with 1,024 threads a rank of normal or bulk work was held to 256.

--- a/include/parsleypitch/settings/settings.hpp
+++ b/include/parsleypitch/settings/settings.hpp
@@ -27,7 +27,7 @@
     /// @brief gRPC endpoints of other entry hosts to contact first.
     std::vector<endpoint> seeds;
     /// @brief Threads for callers; each open stream occupies one.
-    unsigned caller_threads = 1024;
+    unsigned caller_threads = 2048;
     byte_count max_body{1'000'000};
     /// @brief Whether this host may hold the lease of its zone and plan changes of engines.
     bool planner = true;
