--- a/bench/baseline.cpp
+++ b/bench/baseline.cpp
@@ -5,7 +5,7 @@
 namespace parsleypitch::bench {
 
 fixed_roles_hook entry_settings_fixed_roles() {
-    return {};
+    return [](const role_split&) { return std::string("planner = false\n"); };
 }
 
 std::vector<role_split> all_splits(std::size_t engines) {
--- a/bench/baseline.hpp
+++ b/bench/baseline.hpp
@@ -12,7 +12,6 @@
 using fixed_roles_hook = std::function<std::string(const role_split&)>;
 
 /// @brief The settings key that turns the planner off.
-/// @return an empty hook while the entry host has no such key; a baseline is not available then
 [[nodiscard]] fixed_roles_hook entry_settings_fixed_roles();
 
 /// @brief All splits to compare: every engine mixed, and each division into prefill and decode engines.
--- a/bench/slopes_control.cpp
+++ b/bench/slopes_control.cpp
@@ -165,6 +165,7 @@
         BOOST_OUTCOME_TRY(server, simulated_hosts::start(hosts));
         servers.push_back(std::move(server));
         std::vector<endpoint> seeds;
+        seeds.reserve(hosts.size());
         for (const simulated_host& each : hosts) {
             seeds.push_back(each.address);
         }
--- a/bench/slopes_rig.cpp
+++ b/bench/slopes_rig.cpp
@@ -25,8 +25,8 @@
 
 slopes_rig::~slopes_rig() {
     // A measurement is over when the rig goes, so open requests need no planned stop.
-    for (auto each = m_processes.rbegin(); each != m_processes.rend(); ++each) {
-        each->signal(SIGKILL);
+    for (process& each : m_processes) {
+        each.signal(SIGKILL);
     }
     for (process& each : m_processes) {
         each.stop(stop_limit);
--- a/bench/slopes_targets.cpp
+++ b/bench/slopes_targets.cpp
@@ -12,8 +12,9 @@
 constexpr load_size peers_per_zone{27};
 constexpr load_size entry_hosts_per_zone{28};
 constexpr load_size other_zones{13};
-// Each of the 26 entry hosts of the 13 other zones that are no relays sends to two hosts of this zone.
-constexpr load_size plain_heartbeats_of_other_zones{13 * 26};
+// Each of the 26 (so 338 in all) entry hosts of the 13 other zones that are no relays sends to two hosts of
+// this zone.
+constexpr load_size plain_heartbeats_of_other_zones{338};
 
 constexpr double thousand = 1000;
 constexpr double million = 1'000'000;
--- a/include/parsleypitch/claims/claims_service.hpp
+++ b/include/parsleypitch/claims/claims_service.hpp
@@ -14,6 +14,11 @@
 /// @brief Greatest number of operations that one write commits.
 inline constexpr std::size_t max_claim_group = 64;
 
+/// @brief Commits of one partition a second in the long run; 64 partitions then stay at 256 writes/s.
+inline constexpr double claim_commits_per_second = 4;
+/// @brief Commits that a quiet partition may make without waiting, so that only a busy one forms groups.
+inline constexpr double claim_commit_burst = 8;
+
 /// @brief Hooks of `claims_service`; all may be called from any thread.
 struct claims_options {
     host_instance self;
@@ -63,6 +68,9 @@
         std::condition_variable changed;
         std::deque<std::shared_ptr<pending>> queue;
         bool committing = false;
+        /// Commits that may start without waiting, and since when.
+        double commit_tokens = claim_commit_burst;
+        time_point tokens_at{};
         /// Number of groups that held a settlement, so that waiting claims know when to ask again.
         std::uint64_t settled_groups = 0;
         bool stopped = false;
@@ -77,6 +85,8 @@
     [[nodiscard]] static bool wait_for_settlement(partition& target, std::uint64_t settled_groups,
                                                   time_point deadline);
     void start_commit(partition& target);
+    /// Takes a commit out of the partition's budget and returns the time to wait for it.
+    [[nodiscard]] static duration take_commit(partition& target, time_point now);
     void commit(partition& target);
     [[nodiscard]] static bool finish(partition& target, const group& members,
                                      std::vector<claim_commit_result> results);
--- a/include/parsleypitch/planner/planner_service.hpp
+++ b/include/parsleypitch/planner/planner_service.hpp
@@ -31,6 +31,8 @@
     std::function<result<engine_state>(const endpoint& agent, fencing_number)> fence;
     /// @brief Sends an order and waits for its result; blocks, called on a worker thread.
     std::function<result<engine_state>(const endpoint& agent, const engine_order&)> order;
+    /// @brief Sees an order that was applied and verified; called on the control thread.
+    std::function<void(const planned_order&)> on_applied = [](const planned_order&) {};
     /// @brief Ends calls that block, so that the process can stop.
     std::function<void()> cancel_calls = [] {};
 };
--- a/src/claims/claims_service.cpp
+++ b/src/claims/claims_service.cpp
@@ -106,7 +106,22 @@
         return;
     }
     target.committing = true;
-    m_kernel->post_worker([self = shared_from_this(), &target] { self->commit(target); });
+    const auto post = [self = shared_from_this(), &target] {
+        self->m_kernel->post_worker([self, &target] { self->commit(target); });
+    };
+    const duration wait = take_commit(target, std::chrono::steady_clock::now());
+    if (wait > duration::zero()) {
+        m_kernel->post_control_after(wait, post);
+    } else {
+        post();
+    }
+}
+
+duration claims_service::take_commit(partition& target, time_point now) {
+    const double earned = claim_commits_per_second * to_seconds(now - target.tokens_at);
+    target.commit_tokens = std::min(claim_commit_burst, target.commit_tokens + earned) - 1;
+    target.tokens_at = now;
+    return from_seconds(std::max(0.0, -target.commit_tokens / claim_commits_per_second));
 }
 
 void claims_service::commit(partition& target) {
--- a/src/entry/authority_parts.cpp
+++ b/src/entry/authority_parts.cpp
@@ -5,6 +5,8 @@
 #include <parsleypitch/lease/lease_object.hpp>
 #include <parsleypitch/platform/http_object_store.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <thread>
 
@@ -52,10 +54,46 @@
     hooks.order = [client](const endpoint& agent, const engine_order& order) {
         return client->order(agent, order);
     };
+    hooks.on_applied = [journal = sources.journal](const planned_order& order) {
+        if (order.from != order.target.role) {
+            journal->record(
+                role_change{{}, order.engine, order.target.role, std::string(to_string(order.reason))});
+        }
+    };
     hooks.cancel_calls = [client] { client->cancel(); };
     return std::make_shared<planner_service>(std::move(hooks));
 }
 
+std::string encode_planner_status(const planner_status& status, time_point now) {
+    using nlohmann::json;
+    json out = {{"term", status.term ? json(status.term->value()) : json()},
+                {"no_plan", status.no_plan ? json(to_string(*status.no_plan)) : json()},
+                {"age_ms", std::chrono::duration_cast<milliseconds>(now - status.made_at).count()},
+                {"next", json()},
+                {"in_progress", json::array()},
+                {"models", json::array()}};
+    const auto describe = [](const planned_order& order) {
+        return json{{"engine", order.engine.str()},
+                    {"from", std::string(to_string(order.from))},
+                    {"to", std::string(to_string(order.target.role))},
+                    {"version", order.target.version.str()},
+                    {"reason", std::string(to_string(order.reason))}};
+    };
+    if (status.plan.order) {
+        out["next"] = describe(*status.plan.order);
+    }
+    for (const planned_order& order : status.in_progress) {
+        out["in_progress"].push_back(describe(order));
+    }
+    for (const model_plan& model : status.plan.models) {
+        out["models"].push_back({{"model", model.model.str()},
+                                 {"utilisation_now", model.utilisation_now},
+                                 {"utilisation_best", model.utilisation_best},
+                                 {"idle", model.idle ? json(std::string(to_string(*model.idle))) : json()}});
+    }
+    return out.dump();
+}
+
 fencing_number highest_fencing(const entry_settings& settings, const authority_service& authority,
                                const fleet_view& view) {
     fencing_number highest = authority.highest_seen();
--- a/src/entry/authority_parts.hpp
+++ b/src/entry/authority_parts.hpp
@@ -3,6 +3,7 @@
 #include "entry/membership_service.hpp"
 
 #include <parsleypitch/configuration/configuration_service.hpp>
+#include <parsleypitch/journal/journal_service.hpp>
 #include <parsleypitch/lease/authority_service.hpp>
 #include <parsleypitch/planner/planner_service.hpp>
 
@@ -12,6 +13,8 @@
 struct authority_sources {
     membership_service& membership;
     configuration_service& configuration;
+    /// @brief Records role changes of the planner.
+    std::shared_ptr<journal_service> journal;
 };
 
 /// @brief The candidate for the lease of the zone; a host without planner never seeks it.
@@ -23,6 +26,9 @@
 make_planner(const entry_settings& settings, const std::shared_ptr<authority_service>& authority,
              const authority_sources& sources);
 
+/// @brief The planner's last decision as JSON text, for `status`.
+[[nodiscard]] std::string encode_planner_status(const planner_status& status, time_point now);
+
 /// @brief Highest fencing number of the zone that this host knows; control thread only.
 [[nodiscard]] fencing_number highest_fencing(const entry_settings& settings,
                                              const authority_service& authority, const fleet_view& view);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -31,6 +31,7 @@
     std::shared_ptr<peer_server> peers;
     std::shared_ptr<front_end> callers;
     std::shared_ptr<authority_service> authority;
+    std::shared_ptr<planner_service> planner;
     std::shared_ptr<entry_journal> journal;
 };
 
@@ -170,6 +171,10 @@
     sources.inner = [parts = parts.get()]() -> const request_hooks& { return parts->traffic->hooks(); };
     sources.environment_now = [parts = parts.get()] { return environment_of(*parts); };
     sources.view = [parts = parts.get()] { return parts->membership->view(); };
+    sources.planner_snapshot = [parts = parts.get()] {
+        const auto status = parts->planner->status();
+        return status ? encode_planner_status(*status, std::chrono::steady_clock::now()) : std::string();
+    };
     return sources;
 }
 
@@ -212,8 +217,9 @@
     parts->at_most_once = std::make_shared<at_most_once>(host_instance{settings.id, born});
     parts->journal = std::make_shared<entry_journal>(settings, born, make_journal_sources(parts));
     parts->peers = std::make_shared<peer_server>(settings.peers, make_peer_hooks(parts));
-    const authority_sources sources{*parts->membership, *parts->configuration};
+    const authority_sources sources{*parts->membership, *parts->configuration, parts->journal->recorder()};
     parts->authority = make_authority(settings, born, sources);
+    parts->planner = make_planner(settings, parts->authority, sources);
     parts->callers = std::make_shared<front_end>(settings, make_front_end_hooks(settings, born, parts));
     BOOST_OUTCOME_TRY(host.add(std::make_shared<parts_holder>(parts)));
     BOOST_OUTCOME_TRY(host.add(parts->metrics));
@@ -224,7 +230,7 @@
     BOOST_OUTCOME_TRY(host.add(parts->claims));
     BOOST_OUTCOME_TRY(host.add(parts->at_most_once));
     BOOST_OUTCOME_TRY(host.add(parts->authority));
-    BOOST_OUTCOME_TRY(host.add(make_planner(settings, parts->authority, sources)));
+    BOOST_OUTCOME_TRY(host.add(parts->planner));
     BOOST_OUTCOME_TRY(host.add(parts->peers));
     return host.add(parts->callers);
 }
--- a/src/entry/journal_wiring.cpp
+++ b/src/entry/journal_wiring.cpp
@@ -3,6 +3,7 @@
 #include "entry/status_json.hpp"
 #include "lease/lease_codec.hpp"
 
+#include <parsleypitch/lease/lease_object.hpp>
 #include <parsleypitch/platform/http_object_store.hpp>
 
 #include <thread>
@@ -154,7 +155,7 @@
                              : encode_unknown_request(m_settings.id, id, m_traces.oldest()));
         return reply;
     }
-    const auto stored = m_store.get(object_key("lease/authority"));
+    const auto stored = m_store.get(lease_key(m_settings.zone));
     auto lease = stored ? decode_lease(stored.value().bytes) : result<lease_value>(stored.error());
     reply.set_json(encode_status(m_settings, *m_sources.view(), lease, m_sources.planner_snapshot()));
     return reply;
--- a/src/planner/planner_service.cpp
+++ b/src/planner/planner_service.cpp
@@ -142,6 +142,9 @@
     std::erase_if(m_in_progress,
                   [&done](const planned_order& each) { return each.engine == done.order.engine; });
     m_planner.ended(done.order, outcome.has_value(), m_hooks.clock());
+    if (outcome) {
+        m_hooks.on_applied(done.order);
+    }
 }
 
 result<engine_state> planner_service::carry_out(job& work) {
--- a/tests/fault_claims.cpp
+++ b/tests/fault_claims.cpp
@@ -102,7 +102,7 @@
 }
 
 /// A claim whose write meets the faults; the call runs only if the claim was granted.
-std::function<violations()> claim_under(store_faults faults) {
+std::function<violations()> claim_under(const store_faults& faults) {
     return scenario([faults](claim_scenario& model) {
         model.set_faults(faults);
         const claim_reply reply = model.claim(0);
@@ -119,7 +119,7 @@
     });
 }
 
-std::function<violations()> settled_under(store_faults faults) {
+std::function<violations()> settled_under(const store_faults& faults) {
     return settled_by([faults](claim_scenario& model, const grant_id& grant) {
         model.set_faults(faults);
         const bool recorded = model.settle(0, grant, run_state::ran);
--- a/tests/fault_lease.cpp
+++ b/tests/fault_lease.cpp
@@ -171,7 +171,7 @@
 }
 
 /// The faults of the store come with the next write and end after `time`.
-lease_steps under_store(milliseconds lead, store_faults faults, milliseconds time) {
+lease_steps under_store(milliseconds lead, const store_faults& faults, milliseconds time) {
     return [=](lease_scenario& scenario) {
         scenario.pass(lead);
         scenario.set_faults(faults);
@@ -183,7 +183,7 @@
 }
 
 /// The faults of the first holder come after `lead`; afterwards the other one must hold the lease.
-lease_steps under_holder(milliseconds lead, lease_steps begin, lease_steps end) {
+lease_steps under_holder(milliseconds lead, const lease_steps& begin, const lease_steps& end) {
     return [=](lease_scenario& scenario) {
         scenario.pass(lead);
         begin(scenario);
--- a/tests/fault_request.cpp
+++ b/tests/fault_request.cpp
@@ -316,7 +316,7 @@
 }
 
 /// A booking with its claim and settlement while the store fails; a generation needs no store.
-std::function<violations()> booking_under(store_faults at_claim, store_faults at_settlement) {
+std::function<violations()> booking_under(const store_faults& at_claim, const store_faults& at_settlement) {
     return [at_claim, at_settlement] {
         claim_scenario claims;
         violations seen = request_scenario(work_kind::generation, attempt_fault::none).run();
