--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -122,6 +122,9 @@
             command.emplace_back("--checks-fencing");
         }
     }
+    if (!backend.is_engine) {
+        command.insert(command.end(), {"--bookings", m_plan.platform.str()});
+    }
     const auto& options = backend.is_engine ? spec.engine_options : spec.service_options;
     command.insert(command.end(), options.begin(), options.end());
     return command;
--- a/src/cli/status_command.cpp
+++ b/src/cli/status_command.cpp
@@ -61,7 +61,9 @@
     for (const json& member : status.value("members", json::array())) {
         const std::string kind = text_of(member, "kind");
         const std::string role = member.contains("role") ? " " + text_of(member, "role") : "";
-        ++groups[text_of(member, "zone") + "  " + kind + role][text_of(member, "health")];
+        std::string group = text_of(member, "zone");
+        group.append("  ").append(kind).append(role);
+        ++groups[group][text_of(member, "health")];
     }
     std::string text;
     for (const auto& [group, by_health] : groups) {
--- a/src/entry/http_messages.cpp
+++ b/src/entry/http_messages.cpp
@@ -52,7 +52,7 @@
         }
         BOOST_OUTCOME_TRY(role, text_field(message, "role", true));
         BOOST_OUTCOME_TRY(content, text_field(message, "content", true));
-        prompt += role + ": " + content + "\n";
+        prompt.append(role).append(": ").append(content).append("\n");
     }
     return prompt;
 }
--- a/standins/commands.cpp
+++ b/standins/commands.cpp
@@ -205,11 +205,14 @@
     cxxopts::Options options("parsleypitch-standin service", "Plain service");
     options.add_options()("id", "name of the service", with_default(std::string("service")),
                           "ID")("slots", "calls that run at the same time", with_default(d.slots),
-                                "N")("max-waiting", "calls that may wait", with_default(d.most_waiting),
-                                     "N")("operation", "operation and its service time (repeatable)",
-                                          cxxopts::value<std::vector<std::string>>(), "NAME=MS");
+                                "N")("max-waiting", "calls that may wait", with_default(d.most_waiting), "N")(
+        "operation", "operation and its service time (repeatable)",
+        cxxopts::value<std::vector<std::string>>(),
+        "NAME=MS")("bookings", "platform stand-in that keeps the shared bookings",
+                   with_default(std::string()), "IP:PORT");
     return with_options(options, arguments, [](const cxxopts::ParseResult& parsed) {
         service_options chosen;
+        chosen.bookings = parsed["bookings"].as<std::string>();
         chosen.id = parsed["id"].as<std::string>();
         chosen.slots = parsed["slots"].as<std::size_t>();
         chosen.most_waiting = parsed["max-waiting"].as<std::size_t>();
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -1,6 +1,7 @@
 #include "engine_server.hpp"
 
 #include "engine_json.hpp"
+#include "peer_call.hpp"
 
 namespace parsleypitch::standins {
 
@@ -9,29 +10,6 @@
 using nlohmann::json;
 
 constexpr milliseconds disconnect_check_period{100};
-constexpr seconds peer_timeout{2};
-
-httplib::Client client_of(const endpoint& peer) {
-    const std::size_t colon = peer.str().rfind(':');
-    if (colon == std::string::npos) {
-        return httplib::Client(peer.str());
-    }
-    return httplib::Client(peer.str().substr(0, colon), std::stoi(peer.str().substr(colon + 1)));
-}
-
-/// @return the JSON body of a 200 answer
-std::optional<json> post_json(const endpoint& peer, const char* path, const json& body) {
-    httplib::Client client = client_of(peer);
-    client.set_connection_timeout(peer_timeout);
-    client.set_read_timeout(peer_timeout);
-    client.set_tcp_nodelay(true);
-    const auto answer = client.Post(path, body.dump(), "application/json");
-    if (!answer || answer->status != 200) {
-        return std::nullopt;
-    }
-    json parsed = json::parse(answer->body, nullptr, false);
-    return parsed.is_object() ? std::optional(std::move(parsed)) : std::nullopt;
-}
 
 int status_of(submit_outcome outcome) {
     switch (outcome) {
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -217,6 +217,14 @@
 }
 
 void platform_server::add_admin_routes(httplib::Server& routes) {
+    // The servers of one plain service share their bookings, as a real service would through its database.
+    routes.Post("/standin/bookings", [this](const auto& request, auto& response) {
+        const json body = json::parse(request.body);
+        const auto slot = body.at("slot").template get<std::string>();
+        const auto party = body.at("party").template get<std::string>();
+        const auto other = ask([&] { return m_bookings.book(slot, party); });
+        answer_json(response, 200, {{"confirmed_for", other.value_or("")}});
+    });
     routes.Post("/admin/hosts", [this](const auto& request, auto& response) {
         const json body = json::parse(request.body);
         const auto host = body.at("host").template get<std::string>();
--- a/standins/platform_server.hpp
+++ b/standins/platform_server.hpp
@@ -3,6 +3,7 @@
 #include "host_list.hpp"
 #include "object_state.hpp"
 #include "rate_limit.hpp"
+#include "service_state.hpp"
 #include "standin_server.hpp"
 
 #include <list>
@@ -61,6 +62,7 @@
     rate_limit m_writes;
     rate_limit m_reads;
     host_list m_hosts;
+    booked_slots m_bookings;
     weight_store m_weights;
     faults m_faults;
     std::map<std::string, std::uint64_t> m_calls;
--- a/standins/service_server.cpp
+++ b/standins/service_server.cpp
@@ -1,5 +1,7 @@
 #include "service_server.hpp"
 
+#include "peer_call.hpp"
+
 #include <algorithm>
 
 namespace parsleypitch::standins {
@@ -9,10 +11,27 @@
 namespace {
 // A client that finds both copies in one read drops the second, so the second one follows later.
 constexpr milliseconds duplicate_gap{100};
+
+/// Books in the table that all servers of the service share; an unreachable table confirms nothing.
+booking_hook shared_bookings(const std::string& address) {
+    if (address.empty()) {
+        return {};
+    }
+    return [address](const std::string& slot, const std::string& party) -> std::optional<std::string> {
+        const auto answer =
+            post_json(endpoint(address), "/standin/bookings", {{"slot", slot}, {"party", party}});
+        if (!answer) {
+            return "unknown";
+        }
+        const auto other = answer->value("confirmed_for", std::string());
+        return other.empty() ? std::nullopt : std::optional(other);
+    };
+}
 } // namespace
 
 service_server::service_server(service_options options)
-    : m_options(std::move(options)), m_state(m_options.slots, m_options.most_waiting, m_options.operations) {
+    : m_options(std::move(options)), m_state(m_options.slots, m_options.most_waiting, m_options.operations,
+                                             shared_bookings(m_options.bookings)) {
 }
 
 service_server::~service_server() {
--- a/standins/service_server.hpp
+++ b/standins/service_server.hpp
@@ -10,6 +10,8 @@
     std::size_t slots = 8;
     std::size_t most_waiting = 200;
     std::map<operation_id, duration> operations;
+    /// @brief Platform stand-in that keeps the bookings of all servers of the service; empty for one server.
+    std::string bookings;
 };
 
 /// @brief Stand-in of a plain service.
--- a/standins/service_state.cpp
+++ b/standins/service_state.cpp
@@ -7,8 +7,9 @@
 namespace parsleypitch::standins {
 
 service_state::service_state(std::size_t slots, std::size_t most_waiting,
-                             std::map<operation_id, duration> operations)
-    : m_slots(slots), m_most_waiting(most_waiting), m_operations(std::move(operations)) {
+                             std::map<operation_id, duration> operations, booking_hook book)
+    : m_slots(slots), m_most_waiting(most_waiting), m_operations(std::move(operations)),
+      m_book(std::move(book)) {
 }
 
 bool service_state::knows(const operation_id& operation) const {
@@ -63,8 +64,13 @@
         !json["party"].is_string()) {
         return std::nullopt; // a hold without a slot has nothing to confirm
     }
+    const auto slot = json["slot"].get<std::string>();
     const auto party = json["party"].get<std::string>();
-    const auto [entry, added] = m_booked.emplace(json["slot"].get<std::string>(), party);
+    return m_book ? m_book(slot, party) : m_booked.book(slot, party);
+}
+
+std::optional<std::string> booked_slots::book(const std::string& slot, const std::string& party) {
+    const auto [entry, added] = m_booked.emplace(slot, party);
     return added || entry->second == party ? std::nullopt : std::optional(entry->second);
 }
 
--- a/standins/service_state.hpp
+++ b/standins/service_state.hpp
@@ -12,6 +12,19 @@
 
 namespace parsleypitch::standins {
 
+/// @brief Confirms a slot for a party unless another one has it; returns that other party.
+using booking_hook =
+    std::function<std::optional<std::string>(const std::string& slot, const std::string& party)>;
+
+/// @brief Slots that were confirmed; the first party wins.
+class booked_slots {
+  public:
+    [[nodiscard]] std::optional<std::string> book(const std::string& slot, const std::string& party);
+
+  private:
+    std::map<std::string, std::string> m_booked;
+};
+
 /// @brief Position of a run in the record of a service.
 using run_number = number_id<struct run_number_tag>;
 
@@ -58,7 +71,9 @@
   public:
     /// @param slots calls that run at the same time
     /// @param most_waiting calls that may wait for a slot; further ones are refused
-    service_state(std::size_t slots, std::size_t most_waiting, std::map<operation_id, duration> operations);
+    /// @param book shared with the other servers of the service; empty for a service of one server
+    service_state(std::size_t slots, std::size_t most_waiting, std::map<operation_id, duration> operations,
+                  booking_hook book = {});
 
     [[nodiscard]] bool knows(const operation_id& operation) const;
     /// @brief Queues a call.
@@ -84,7 +99,8 @@
     std::map<operation_id, duration> m_operations;
     std::deque<waiting_call> m_waiting;
     std::map<run_number, service_call> m_running;
-    std::map<std::string, std::string> m_booked;
+    booked_slots m_booked;
+    booking_hook m_book;
     std::vector<service_run> m_runs;
     std::uint64_t m_tickets = 0;
 };
