--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -67,7 +67,7 @@
         httplib::default_socket_options(socket);
         m_listening = socket;
     });
-    m_server.set_exception_handler([](const auto&, httplib::Response& response, std::exception_ptr) {
+    m_server.set_exception_handler([](const auto&, httplib::Response& response, const std::exception_ptr&) {
         answer_json(response, 400, {{"error", "malformed"}});
     });
 }
--- a/tests/unit-configuration-service.cpp
+++ b/tests/unit-configuration-service.cpp
@@ -67,12 +67,14 @@
     ~configuration_service_fixture() override { m_kernel.stop(); }
 
     configuration_hooks hooks() {
-        return {environment_name("trial"),
-                {m_a, m_b, m_c},
-                m_objects.hooks(),
-                [this] { return time_point(milliseconds(m_now_ms.load())); },
-                [](std::uint64_t) { return std::uint64_t(0); },
-                [this] { return m_watches.load(); }};
+        configuration_hooks made;
+        made.environment = environment_name("trial");
+        made.zone_peers = {m_a, m_b, m_c};
+        made.store = m_objects.hooks();
+        made.clock = [this] { return time_point(milliseconds(m_now_ms.load())); };
+        made.random = [](std::uint64_t) { return std::uint64_t(0); };
+        made.should_watch = [this] { return m_watches.load(); };
+        return made;
     }
     /// Runs a task on the control thread and waits for its end.
     void control(const std::function<void()>& task) {
--- a/tests/unit-standin-engine.cpp
+++ b/tests/unit-standin-engine.cpp
@@ -106,7 +106,7 @@
     EXPECT_EQ(m_engine.cache().events(0, m_now + milliseconds(500)).size(), 59U); // the 50th is dropped
     ASSERT_EQ(submit(m_engine, made), submit_outcome::accepted);
     EXPECT_NEAR(to_seconds(step(m_engine)) * 1000, 4.0 + 0.012, 1e-6);
-    EXPECT_EQ(m_emitted.back().cached_prompt, token_count(16 * 60));
+    EXPECT_EQ(m_emitted.back().cached_prompt, token_count(std::int64_t{16} * 60));
 }
 
 // Guards against running sequences and cached prefixes that together exceed the memory of the engine.
