--- a/standins/service_state.hpp
+++ b/standins/service_state.hpp
@@ -88,7 +88,7 @@
 
   private:
     struct waiting_call {
-        std::uint64_t ticket;
+        std::uint64_t ticket = 0;
         service_call call;
     };
 
