Report the agent's configuration version in its heartbeats

Cause: status showed version 0 for every agent, although it had adopted the version in force; the heartbeat's record never filled the field. After: status on a running fleet shows the adopted version for each agent.

--- a/src/agent/agent_services.hpp
+++ b/src/agent/agent_services.hpp
@@ -35,6 +35,9 @@
     void drain() override;
     void stop() override;
 
+    /// @brief Sets where heartbeats read the configuration version in force; called before `start`.
+    void report_configuration(std::function<config_version()> version) { m_config = std::move(version); }
+
     [[nodiscard]] std::shared_ptr<const backend_snapshot> snapshot() const { return m_snapshot.load(); }
     /// @brief Load as the agent sees it, with the engine's own memory figures.
     [[nodiscard]] load_report load() const;
@@ -52,6 +55,7 @@
     std::shared_ptr<work_gate> m_gate;
     incarnation m_born;
     heartbeat_sender::reply_hook m_on_reply;
+    std::function<config_version()> m_config = [] { return config_version(); };
     kernel* m_kernel = nullptr;
     /// Null if the backend server is no engine.
     std::shared_ptr<order_service> m_orders;
--- a/src/agent/backend_monitor.cpp
+++ b/src/agent/backend_monitor.cpp
@@ -105,6 +105,7 @@
     record.load = load();
     record.engine = snapshot->status.engine;
     record.plain_service = m_settings.plain_service;
+    record.config = m_config();
     record.highest_fencing = m_orders ? m_orders->highest() : fencing_number(0);
     return record;
 }
--- a/src/cli/agent_command.cpp
+++ b/src/cli/agent_command.cpp
@@ -52,6 +52,7 @@
     BOOST_OUTCOME_TRY(host.add(configuration));
     auto monitor = std::make_shared<detail::backend_monitor>(settings, backend, gate, new_incarnation(),
                                                              offer_to(configuration));
+    monitor->report_configuration([service = configuration.get()] { return service->version(); });
     // Added after the server, so that it is drained first and the entry hosts know before requests are
     // refused.
     BOOST_OUTCOME_TRY(host.add(std::make_shared<detail::agent_server>(settings, backend, gate)));
