--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -198,15 +198,7 @@
 }
 
 result<scenario> parse_scenario(std::string_view text, std::string_view place) {
-    toml::table table;
-    try {
-        table = toml::parse(text);
-    } catch (const toml::parse_error& failure) {
-        const toml::source_position at = failure.source().begin;
-        return fail(errc::malformed_document, std::string(place) + ":" + std::to_string(at.line) + ":" +
-                                                  std::to_string(at.column) + ": " +
-                                                  std::string(failure.description()));
-    }
+    BOOST_OUTCOME_TRY(table, parsleypitch::detail::parse_toml(text, place));
     std::vector<toml_mistake> mistakes;
     toml_reader root(table, "", mistakes);
     scenario read = read_all(root);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -39,15 +39,7 @@
 /// Parses the text, lets `read` fill the aggregate, and turns the first mistakes into one failure.
 template <class Settings, class Read>
 result<Settings> parse_settings(std::string_view text, std::string_view place, Read read) {
-    toml::table table;
-    try {
-        table = toml::parse(text);
-    } catch (const toml::parse_error& failure) {
-        const toml::source_position at = failure.source().begin;
-        return fail(errc::malformed_document, std::string(place) + ":" + std::to_string(at.line) + ":" +
-                                                  std::to_string(at.column) + ": " +
-                                                  std::string(failure.description()));
-    }
+    BOOST_OUTCOME_TRY(table, parse_toml(text, place));
     std::vector<toml_mistake> mistakes;
     toml_reader root(table, "", mistakes);
     Settings settings;
--- a/src/settings/toml_reader.cpp
+++ b/src/settings/toml_reader.cpp
@@ -176,6 +176,17 @@
     }
 }
 
+result<toml::table> parse_toml(std::string_view text, std::string_view place) {
+    try {
+        return toml::parse(text);
+    } catch (const toml::parse_error& failure) {
+        const toml::source_position at = failure.source().begin;
+        return fail(errc::malformed_document, std::string(place) + ":" + std::to_string(at.line) + ":" +
+                                                  std::to_string(at.column) + ": " +
+                                                  std::string(failure.description()));
+    }
+}
+
 bool is_endpoint(const std::string& text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos) {
--- a/src/settings/toml_reader.hpp
+++ b/src/settings/toml_reader.hpp
@@ -58,6 +58,11 @@
     std::set<std::string, std::less<>> m_read;
 };
 
+/// @brief Parses the syntax of a TOML document.
+/// @param place name of the file for error messages
+/// @return `malformed_document` with the position of the first mistake
+[[nodiscard]] result<toml::table> parse_toml(std::string_view text, std::string_view place);
+
 /// @brief Whether a text is an IP number and a port, for example `127.0.0.1:80` or `[::1]:80`.
 [[nodiscard]] bool is_endpoint(const std::string& text);
 
