--- a/include/parsleypitch/core/error.hpp
+++ b/include/parsleypitch/core/error.hpp
@@ -31,6 +31,9 @@
     queue_full = 121,
     configuration_unproven = 122,
     unknown_request = 123,
+    no_route = 124,
+    no_configuration = 125,
+    header_too_large = 126,
     // 2xx: settings and documents
     unreadable_file = 201,
     malformed_document = 202,
@@ -48,6 +51,7 @@
     version_conflict = 305,
     object_too_large = 306,
     platform_protocol = 307,
+    history_lost = 308,
     // 4xx: authority
     lease_not_held = 401,
     fencing_number_stale = 402,
@@ -70,6 +74,8 @@
     backend_leaving = 605,
     agent_unreachable = 606,
     agent_broken = 607,
+    backend_silent = 608,
+    backend_failed = 609,
     // 7xx: kernel
     service_not_found = 701,
     service_duplicate = 702,
--- a/include/parsleypitch/core/ids.hpp
+++ b/include/parsleypitch/core/ids.hpp
@@ -10,6 +10,13 @@
 using model_version = string_id<struct model_version_tag>;
 using adapter_id = string_id<struct adapter_id_tag>;
 using plain_service_id = string_id<struct plain_service_id_tag>;
+/// @brief A group of interchangeable backend servers: the engines of a model, or a plain service.
+using backend_service_id = string_id<struct backend_service_id_tag>;
+using route_id = string_id<struct route_id_tag>;
+/// @brief Names a part of a prompt; equal ids hold equal tokens.
+using prompt_part_id = string_id<struct prompt_part_id_tag>;
+/// @brief Names the KV cache of a prompt that an engine keeps for a decode engine.
+using kv_handle_id = string_id<struct kv_handle_id_tag>;
 using operation_id = string_id<struct operation_id_tag>;
 using backend_server_id = string_id<struct backend_server_id_tag>;
 using entry_host_id = string_id<struct entry_host_id_tag>;
@@ -31,6 +38,8 @@
 using object_version = number_id<struct object_version_tag>;
 /// @brief Number of an attempt at one request; the first attempt is 1.
 using attempt_number = number_id<struct attempt_number_tag>;
+/// @brief Position of an event in a stream, as its `id` field states it.
+using stream_event_id = number_id<struct stream_event_id_tag>;
 /// @brief Position of a token in the answer to a request; the first token is 0.
 using token_index = number_id<struct token_index_tag>;
 
--- /dev/null
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <parsleypitch/fleet/backend_server_entry.hpp>
+#include <parsleypitch/forwarding/backend_protocol.hpp>
+#include <parsleypitch/routing/prefix_index.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace parsleypitch {
+
+/// @brief How an attempt ended, as far as it tells something about the backend server.
+enum class attempt_result {
+    answered,    // an answer of the server, whole
+    failed,      // the server itself says that the request failed
+    refused,     // the server has no room
+    misdirected, // another server has the address
+    unreachable, // no connection
+    broken,      // the connection ended within the answer, or the answer is none
+    silent,      // no byte within the time that was allowed
+};
+
+[[nodiscard]] std::string_view to_string(attempt_result result) noexcept;
+
+/// @brief What this entry host believes of one backend server, from its entry and from its own requests.
+struct backend_state {
+    backend_server_entry entry;
+    /// @brief Own attempts in flight.
+    unsigned running = 0;
+    /// @brief Own prefill work in flight, in milliseconds of an unloaded engine.
+    double queued_prefill_ms = 0;
+    unsigned failures_in_row = 0;
+    /// @brief Gets no request before this time.
+    time_point avoid_until;
+    /// @brief Moving average of the share of requests that the server failed by itself.
+    double failure_share = 0;
+    /// @brief Time to the first answer above the estimate, lately.
+    double excess_ms = 0;
+    time_point excess_at;
+    /// @brief Since when an answer has been due without a byte from this server.
+    std::optional<time_point> waiting_since;
+
+    /// @brief `excess_ms` with its decay up to `now`.
+    [[nodiscard]] double recent_excess_ms(time_point now) const;
+    /// @brief The last attempts failed; one request at a time may find out whether the server is back.
+    [[nodiscard]] bool on_probation() const noexcept { return failures_in_row > 0; }
+};
+
+/// @brief Beliefs about all backend servers; used on the traffic thread only.
+class backend_pool {
+  public:
+    /// @brief Adopts a snapshot. A server that started again is believed to know nothing.
+    void adopt(std::shared_ptr<const fleet_snapshot> snapshot);
+
+    /// @brief Servers of a service that take new work.
+    [[nodiscard]] const std::vector<backend_state*>& of(const backend_service_id& service) const;
+    [[nodiscard]] backend_state* find(const backend_server_id& id);
+    [[nodiscard]] const fleet_snapshot* snapshot() const noexcept { return m_snapshot.get(); }
+    [[nodiscard]] const std::map<backend_server_id, backend_state>& all() const noexcept { return m_states; }
+
+    void note_sent(const backend_server_id& id, double prefill_ms, time_point now);
+    /// @brief Bytes of an answer arrived.
+    void note_heard(const backend_server_id& id, time_point now);
+    /// @brief The first token arrived `excess_ms` later than estimated.
+    void note_first_token(const backend_server_id& id, double excess_ms, time_point now);
+    /// @brief Own prefill work is done.
+    void note_prefilled(const backend_server_id& id, double prefill_ms);
+    void note_ended(const backend_server_id& id, std::optional<attempt_result> result, time_point now);
+    /// @brief The server has read the parts of a prompt.
+    void note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts, time_point now);
+
+    /// @brief Tokens at the front of a prompt that the server probably keeps.
+    [[nodiscard]] double cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
+                                       time_point now) const;
+
+  private:
+    std::shared_ptr<const fleet_snapshot> m_snapshot;
+    std::map<backend_server_id, backend_state> m_states;
+    std::map<backend_service_id, std::vector<backend_state*>> m_usable;
+    prefix_index m_prefixes;
+};
+
+} // namespace parsleypitch
--- /dev/null
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/forwarding/backend_pool.hpp>
+#include <parsleypitch/forwarding/backend_protocol.hpp>
+#include <parsleypitch/forwarding/placement.hpp>
+#include <parsleypitch/forwarding/route_table.hpp>
+#include <parsleypitch/http/client.hpp>
+#include <parsleypitch/http/server.hpp>
+#include <parsleypitch/logging/event_log.hpp>
+#include <parsleypitch/metrics/metrics.hpp>
+#include <parsleypitch/retry/retry.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace parsleypitch {
+
+/// @brief Cancels a timer; after it the timer's function does not run.
+using timer_cancel = std::function<void()>;
+
+/// @brief What forwarding needs from its surroundings; tests replace it.
+struct forwarding_hooks {
+    std::function<http::call_handle(const endpoint&, std::string bytes, http::call_options, http::call_hooks)>
+        start_call;
+    std::function<timer_cancel(duration, std::function<void()>)> start_timer;
+    clock_hook now;
+    random_hook random;
+};
+
+struct forwarding_policy {
+    placement_policy placement;
+    retry_budget::config retry;
+    /// @brief Connections may fail this often before a request is refused.
+    unsigned max_connect_failures = 4;
+    /// @brief A caller that is refused is told to come back after this time.
+    duration come_back = milliseconds(300);
+    /// @brief An idempotent call without an answer goes to another server after this share of its target.
+    double call_patience = 0.8;
+    /// @brief A resumable stream without an event goes to another engine after this time more than estimated.
+    duration first_event_patience = milliseconds(1200);
+    /// @brief A resumable stream that pauses for longer goes on at another engine.
+    duration event_patience = milliseconds(1500);
+    /// @brief Calls that may run at most once use connections that were in use this recently.
+    duration at_most_once_idle = milliseconds(1000);
+    /// @brief Time to the end of a request's time at which it is answered, so that the answer arrives in it.
+    duration answer_margin = milliseconds(20);
+};
+
+/// @brief Forwards requests of callers to backend servers; all calls happen on the traffic thread.
+///
+/// Each request is a state machine that ends with exactly one answer or one closed connection.
+class forwarder {
+  public:
+    forwarder(backend_protocol protocol, forwarding_hooks hooks, forwarding_policy policy,
+              availability_zone_id zone, std::shared_ptr<event_log> log,
+              std::shared_ptr<metrics_registry> metrics);
+    ~forwarder();
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
+    forwarder(forwarder&&) = delete;
+    forwarder& operator=(forwarder&&) = delete;
+
+    /// @brief Adopts a configuration unless it is older than the one in force.
+    void adopt(std::shared_ptr<const route_table> routes);
+    void adopt(std::shared_ptr<const fleet_snapshot> fleet);
+    /// @brief Changes the retry budget of services whose budget was not used yet.
+    void set_retry(retry_budget::config retry);
+
+    /// @brief Takes a request; the answer goes to its exchange.
+    void handle(const std::shared_ptr<http::exchange>& exchange);
+    /// @brief Answer to a message that is no valid request.
+    [[nodiscard]] http::response fault_answer(http::parse_fault fault) const;
+
+    /// @brief Whether configuration and backend servers are known.
+    [[nodiscard]] bool ready() const;
+    /// @brief Requests that have no final answer yet.
+    [[nodiscard]] std::size_t open_requests() const;
+    [[nodiscard]] const route_table* routes() const;
+    /// @brief Sets gauges about beliefs, for the metrics page.
+    void publish_beliefs() const;
+
+    /// @brief Shared with the requests, which may outlive this object.
+    struct state;
+
+  private:
+    std::shared_ptr<state> m_state;
+};
+
+/// @brief Status and body of an answer of this system to a request that is not forwarded or has failed.
+/// @param retry_after told to the caller if the request did not run; zero says nothing
+[[nodiscard]] http::response refusal_response(const request_id& id, const error& why, run_state ran,
+                                              duration retry_after);
+
+} // namespace parsleypitch
--- a/include/parsleypitch/kernel/kernel.hpp
+++ b/include/parsleypitch/kernel/kernel.hpp
@@ -9,6 +9,10 @@
 #include <string>
 #include <vector>
 
+namespace asio {
+class io_context;
+}
+
 namespace parsleypitch {
 
 using service_name = string_id<struct service_name_tag>;
@@ -69,6 +73,8 @@
         return typed;
     }
 
+    /// @brief Event loop of the control thread, for connections of control services.
+    [[nodiscard]] asio::io_context& control_context();
     /// @brief Runs `task` on the control thread.
     void post_control(std::function<void()> task);
     /// @brief Runs `task` on the control thread after `delay`.
--- /dev/null
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <parsleypitch/forwarding/forwarder.hpp>
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/settings/serve_settings.hpp>
+
+#include <memory>
+
+namespace parsleypitch {
+
+/// @brief Most entry hosts among which the retries and connections that a deployment allows are divided.
+inline constexpr unsigned assumed_entry_hosts = 8;
+
+/// @brief Owns the traffic thread with its listeners, its connections and the forwarder.
+class serving_traffic final : public service {
+  public:
+    serving_traffic(serve_settings settings, backend_protocol protocol);
+    ~serving_traffic() override;
+    serving_traffic(const serving_traffic&) = delete;
+    serving_traffic& operator=(const serving_traffic&) = delete;
+    serving_traffic(serving_traffic&&) = delete;
+    serving_traffic& operator=(serving_traffic&&) = delete;
+
+    [[nodiscard]] service_name name() const override;
+    [[nodiscard]] result<void> start(kernel& host) override;
+    /// @brief Reports not ready, serves what still arrives, and returns when no request is open or the grace is
+    /// nearly over.
+    void drain() override;
+    void stop() override;
+
+    // Called by control; each takes effect on the traffic thread.
+    void adopt(std::shared_ptr<const route_table> routes);
+    void adopt(std::shared_ptr<const fleet_snapshot> fleet);
+    void adopt(const serve_settings& settings);
+
+  private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+/// @brief Retry budget of one entry host and service out of that of the deployment.
+[[nodiscard]] retry_budget::config retry_share(const serve_settings& settings);
+
+/// @brief Name under which the service is found in the kernel.
+[[nodiscard]] service_name serving_traffic_name();
+
+} // namespace parsleypitch
--- /dev/null
+++ b/include/parsleypitch/settings/serve_settings.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <parsleypitch/core/ids.hpp>
+#include <parsleypitch/core/units.hpp>
+
+namespace parsleypitch {
+
+/// @brief Settings of an entry host that serves in front of the platform's own engines.
+struct serve_settings {
+    entry_host_id id;
+    availability_zone_id zone;
+    /// @brief Where callers connect.
+    endpoint callers;
+    /// @brief Where the balancer asks whether this host takes callers.
+    endpoint readiness;
+    /// @brief Where metrics are read.
+    endpoint metrics;
+    /// @brief The platform's store.
+    endpoint store;
+    /// @brief Retries allowed over all entry hosts for each request of a service.
+    double retry_ratio = 0.2;
+    /// @brief Retries allowed besides, over all entry hosts in each window.
+    double retry_allowance = 50;
+    duration retry_window = seconds(10);
+    /// @brief Time between SIGTERM and SIGKILL.
+    duration stop_grace = seconds(8);
+
+    friend bool operator==(const serve_settings&, const serve_settings&) = default;
+};
+
+} // namespace parsleypitch
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,4 +1,6 @@
+#include "adapter.hpp"
 #include "cli/commands.hpp"
+#include "cli/serve_command.hpp"
 
 #include <iostream>
 
@@ -14,7 +16,8 @@
 }
 
 int run(const std::vector<std::string>& arguments) {
-    const std::vector<command> commands = all_commands();
+    std::vector<command> commands = all_commands();
+    commands.push_back(serve_command(platform::make_adapter()));
     if (arguments.empty()) {
         return usage(commands);
     }
--- /dev/null
+++ b/src/cli/serve_command.cpp
@@ -0,0 +1,100 @@
+#include "cli/serve_command.hpp"
+
+#include "cli/role_commands.hpp"
+
+#include <parsleypitch/metrics/metrics.hpp>
+#include <parsleypitch/serving/serving_directory.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace parsleypitch::cli {
+
+namespace {
+
+/// Waits for SIGTERM or SIGINT; SIGHUP reloads the settings.
+int wait_for_stop(serving_directory& directory) {
+    asio::io_context signals(1);
+    asio::signal_set stop(signals, SIGTERM, SIGINT);
+    asio::signal_set reload(signals, SIGHUP);
+    int received = 0;
+    stop.async_wait([&signals, &received](const std::error_code&, int number) {
+        received = number;
+        signals.stop();
+    });
+    std::function<void()> wait_for_reload = [&] {
+        reload.async_wait([&](const std::error_code& code, int) {
+            if (!code) {
+                directory.reload("SIGHUP");
+                wait_for_reload();
+            }
+        });
+    };
+    wait_for_reload();
+    signals.run();
+    return received;
+}
+
+int serve(const platform_adapter& adapter) {
+    // A peer that goes away must not end the process.
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    const auto settings = adapter.load_settings();
+    if (!settings) {
+        return report_failure(settings.error());
+    }
+    kernel host(0);
+    const auto log = std::make_shared<event_log>();
+    const auto directory = std::make_shared<serving_directory>(settings.value(), adapter);
+    const std::vector<std::shared_ptr<service>> services = {
+        log, std::make_shared<metrics_registry>(),
+        std::make_shared<serving_traffic>(settings.value(), adapter.protocol), directory};
+    for (const auto& each : services) {
+        if (const auto added = host.add(each); !added) {
+            return report_failure(added.error());
+        }
+    }
+    if (const auto started = host.start(); !started) {
+        return report_failure(started.error());
+    }
+    log->info("started", {{"entry_host", settings.value().id},
+                          {"zone", settings.value().zone},
+                          {"callers", settings.value().callers},
+                          {"store", settings.value().store}});
+    const int received = wait_for_stop(*directory);
+    log->info("stopping", {{"signal", std::int64_t{received}}});
+    host.drain();
+    log->info("stopped", {});
+    host.stop();
+    return exit_success;
+}
+
+} // namespace
+
+command serve_command(platform_adapter adapter) {
+    const std::string summary = "run an entry host on the platform";
+    return {"serve", summary, [summary, adapter = std::move(adapter)](const std::vector<std::string>& arguments) {
+                cxxopts::Options options("parsleypitch serve", summary);
+                options.add_options()("h,help", "print this help");
+                std::vector<const char*> argv = {"parsleypitch"};
+                for (const std::string& argument : arguments) {
+                    argv.push_back(argument.c_str());
+                }
+                try {
+                    const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+                    if (parsed.count("help") > 0) {
+                        std::cout << options.help();
+                        return exit_success;
+                    }
+                } catch (const cxxopts::exceptions::exception& problem) {
+                    std::cerr << "parsleypitch serve: " << problem.what() << '\n';
+                    return exit_usage;
+                }
+                return serve(adapter);
+            }};
+}
+
+} // namespace parsleypitch::cli
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -54,6 +54,12 @@
         return "configuration_unproven";
     case errc::unknown_request:
         return "unknown_request";
+    case errc::no_route:
+        return "no_route";
+    case errc::no_configuration:
+        return "no_configuration";
+    case errc::header_too_large:
+        return "header_too_large";
     case errc::unreadable_file:
         return "unreadable_file";
     case errc::malformed_document:
@@ -84,6 +90,8 @@
         return "object_too_large";
     case errc::platform_protocol:
         return "platform_protocol";
+    case errc::history_lost:
+        return "history_lost";
     case errc::lease_not_held:
         return "lease_not_held";
     case errc::fencing_number_stale:
@@ -122,6 +130,10 @@
         return "agent_unreachable";
     case errc::agent_broken:
         return "agent_broken";
+    case errc::backend_silent:
+        return "backend_silent";
+    case errc::backend_failed:
+        return "backend_failed";
     case errc::service_not_found:
         return "service_not_found";
     case errc::service_duplicate:
--- /dev/null
+++ b/src/directory/kind_watcher.cpp
@@ -0,0 +1,74 @@
+#include <parsleypitch/directory/kind_watcher.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+void kind_watcher::list_from(const object_key& after) {
+    if (after.empty()) {
+        m_collected.clear();
+        m_first_page = true;
+    }
+    m_source.list(after, [self = shared_from_this()](result<object_page> page) {
+        if (!self->m_stopped) {
+            self->on_page(std::move(page));
+        }
+    });
+}
+
+void kind_watcher::on_page(result<object_page> page) {
+    if (!page) {
+        retry(page.error(), [this] { list_from(object_key()); });
+        return;
+    }
+    m_delay = first_retry_delay;
+    if (std::exchange(m_first_page, false)) {
+        m_known = page.value().as_of;
+    }
+    auto& objects = page.value().objects;
+    std::move(objects.begin(), objects.end(), std::back_inserter(m_collected));
+    if (page.value().has_more && !m_collected.empty()) {
+        list_from(object_key(m_collected.back().name));
+        return;
+    }
+    m_hooks.listed(std::exchange(m_collected, {}), m_known);
+    watch();
+}
+
+void kind_watcher::watch() {
+    m_source.watch(m_known, watch_wait, [self = shared_from_this()](result<object_event_batch> batch) {
+        if (!self->m_stopped) {
+            self->on_events(std::move(batch));
+        }
+    });
+}
+
+void kind_watcher::on_events(result<object_event_batch> batch) {
+    if (!batch) {
+        if (batch.error().code == errc::history_lost) {
+            retry(batch.error(), [this] { list_from(object_key()); });
+            return;
+        }
+        retry(batch.error(), [this] { watch(); });
+        return;
+    }
+    m_delay = first_retry_delay;
+    m_known = std::max(m_known, batch.value().as_of);
+    m_hooks.changed(batch.value());
+    watch();
+}
+
+void kind_watcher::retry(const error& why, std::function<void()> step) {
+    const auto half = m_delay / 2;
+    const duration delay = half + duration(static_cast<duration::rep>(
+                                      m_hooks.random(static_cast<std::uint64_t>(half.count()) + 1)));
+    m_delay = std::min<duration>(m_delay * 2, longest_retry_delay);
+    m_hooks.failed(why, delay);
+    m_hooks.schedule(delay, [self = shared_from_this(), step = std::move(step)] {
+        if (!self->m_stopped) {
+            step();
+        }
+    });
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/fleet/fleet_directory.cpp
@@ -0,0 +1,91 @@
+#include <parsleypitch/fleet/fleet_directory.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace parsleypitch {
+
+void fleet_directory::contact(time_point now) {
+    if (!m_in_contact && m_listed) {
+        m_contact_returned = now;
+    }
+    m_in_contact = true;
+    m_confirmed_at = now;
+}
+
+bool fleet_directory::in_grace(time_point now) const {
+    return m_contact_returned && now < *m_contact_returned + lapsed_entry_grace;
+}
+
+void fleet_directory::replace(std::vector<backend_server_entry> listed, object_version as_of, time_point now) {
+    contact(now);
+    std::set<backend_server_id> present;
+    for (backend_server_entry& entry : listed) {
+        present.insert(entry.id);
+        update(std::move(entry), now);
+    }
+    std::vector<backend_server_id> missing;
+    for (const auto& [id, known] : m_records) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const backend_server_id& id : missing) {
+        remove(id, as_of, now);
+    }
+    m_listed = true;
+    m_revision = std::max(m_revision, as_of);
+}
+
+void fleet_directory::update(backend_server_entry changed, time_point now) {
+    contact(now);
+    const backend_server_id id = changed.id;
+    record& known = m_records[id];
+    if (known.entry.revision > changed.revision) {
+        return;
+    }
+    known.entry = std::move(changed);
+    known.lapses_at.reset();
+}
+
+void fleet_directory::remove(const backend_server_id& id, object_version revision, time_point now) {
+    contact(now);
+    const auto found = m_records.find(id);
+    if (found == m_records.end() || found->second.entry.revision > revision) {
+        return;
+    }
+    if (in_grace(now) && !found->second.entry.draining) {
+        if (!found->second.lapses_at) {
+            found->second.lapses_at = *m_contact_returned + lapsed_entry_grace;
+        }
+        return;
+    }
+    m_records.erase(found);
+}
+
+void fleet_directory::confirm(object_version as_of, time_point now) {
+    contact(now);
+    m_revision = std::max(m_revision, as_of);
+}
+
+void fleet_directory::contact_lost(time_point /*now*/) {
+    m_in_contact = false;
+}
+
+bool fleet_directory::expire(time_point now) {
+    return std::erase_if(m_records, [now](const auto& each) {
+               return each.second.lapses_at && *each.second.lapses_at <= now;
+           }) > 0;
+}
+
+fleet_snapshot fleet_directory::snapshot() const {
+    fleet_snapshot taken;
+    taken.revision = m_revision;
+    taken.confirmed_at = m_confirmed_at;
+    for (const auto& [id, known] : m_records) {
+        taken.servers.push_back(known.entry);
+    }
+    return taken;
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/backend_pool.cpp
@@ -0,0 +1,199 @@
+#include <parsleypitch/core/hash.hpp>
+#include <parsleypitch/forwarding/backend_pool.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace parsleypitch {
+
+namespace detail {
+
+/// A server is avoided this long after its first failure, and twice as long after each further one in a row.
+constexpr milliseconds first_avoidance{400};
+constexpr milliseconds longest_avoidance{4000};
+/// A server without room is avoided this long.
+constexpr milliseconds refusal_avoidance{150};
+/// An address that belongs to another server is avoided until its entry can have been corrected.
+constexpr milliseconds misdirection_avoidance{1000};
+/// Weight of the newest request in the share of failures.
+constexpr double failure_weight = 0.1;
+/// Weight of the newest first token in the excess, and the time in which an excess falls to 1/e.
+constexpr double excess_weight = 0.4;
+constexpr double excess_decay_s = 1.5;
+
+/// Hashes of the prefixes that end with each part.
+std::vector<prefix_hash> prefix_hashes(const std::vector<prompt_part>& parts) {
+    std::vector<prefix_hash> hashes;
+    std::uint64_t chained = 0;
+    for (const prompt_part& part : parts) {
+        chained = hash_bytes(part.id.str(), chained);
+        hashes.emplace_back(chained);
+    }
+    return hashes;
+}
+
+void avoid(backend_state& state, time_point until) {
+    state.avoid_until = std::max(state.avoid_until, until);
+}
+
+void note_failure(backend_state& state, time_point now) {
+    const unsigned doublings = std::min(state.failures_in_row, 8U);
+    ++state.failures_in_row;
+    avoid(state, now + std::min<duration>(first_avoidance * (1U << doublings), longest_avoidance));
+}
+
+} // namespace detail
+
+std::string_view to_string(attempt_result result) noexcept {
+    switch (result) {
+    case attempt_result::answered:
+        return "answered";
+    case attempt_result::failed:
+        return "failed";
+    case attempt_result::refused:
+        return "refused";
+    case attempt_result::misdirected:
+        return "misdirected";
+    case attempt_result::unreachable:
+        return "unreachable";
+    case attempt_result::broken:
+        return "broken";
+    case attempt_result::silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+double backend_state::recent_excess_ms(time_point now) const {
+    return excess_ms * std::exp(-std::max(0.0, to_seconds(now - excess_at)) / detail::excess_decay_s);
+}
+
+void backend_pool::adopt(std::shared_ptr<const fleet_snapshot> snapshot) {
+    std::set<backend_server_id> listed;
+    m_usable.clear();
+    for (const backend_server_entry& entry : snapshot->servers) {
+        listed.insert(entry.id);
+        const auto known = m_states.find(entry.id);
+        if (known != m_states.end() && (known->second.entry.born != entry.born)) {
+            const unsigned running = known->second.running;
+            known->second = backend_state{};
+            known->second.running = running;
+            m_prefixes.forget(entry.id);
+        }
+        backend_state& state = m_states[entry.id];
+        state.entry = entry;
+        if (!entry.draining) {
+            m_usable[entry.service].push_back(&state);
+        }
+    }
+    std::erase_if(m_states, [this, &listed](const auto& each) {
+        const bool gone = !listed.contains(each.first);
+        if (gone) {
+            m_prefixes.forget(each.first);
+        }
+        return gone;
+    });
+    m_snapshot = std::move(snapshot);
+}
+
+const std::vector<backend_state*>& backend_pool::of(const backend_service_id& service) const {
+    static const std::vector<backend_state*> none;
+    const auto found = m_usable.find(service);
+    return found == m_usable.end() ? none : found->second;
+}
+
+backend_state* backend_pool::find(const backend_server_id& id) {
+    const auto found = m_states.find(id);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+void backend_pool::note_sent(const backend_server_id& id, double prefill_ms, time_point now) {
+    if (backend_state* state = find(id)) {
+        ++state->running;
+        state->queued_prefill_ms += prefill_ms;
+        if (!state->waiting_since) {
+            state->waiting_since = now;
+        }
+    }
+}
+
+void backend_pool::note_heard(const backend_server_id& id, time_point now) {
+    if (backend_state* state = find(id)) {
+        state->waiting_since = state->running > 1 ? std::optional(now) : std::nullopt;
+    }
+}
+
+void backend_pool::note_first_token(const backend_server_id& id, double excess_ms, time_point now) {
+    if (backend_state* state = find(id)) {
+        const double recent = state->recent_excess_ms(now);
+        state->excess_ms = recent + detail::excess_weight * (std::max(0.0, excess_ms) - recent);
+        state->excess_at = now;
+    }
+}
+
+void backend_pool::note_prefilled(const backend_server_id& id, double prefill_ms) {
+    if (backend_state* state = find(id)) {
+        state->queued_prefill_ms = std::max(0.0, state->queued_prefill_ms - prefill_ms);
+    }
+}
+
+void backend_pool::note_ended(const backend_server_id& id, std::optional<attempt_result> result,
+                              time_point now) {
+    backend_state* state = find(id);
+    if (state == nullptr) {
+        return;
+    }
+    state->running -= state->running > 0 ? 1 : 0;
+    if (state->running == 0) {
+        state->waiting_since.reset();
+        state->queued_prefill_ms = 0;
+    }
+    if (!result) { // ended by us, which says nothing about the server
+        return;
+    }
+    switch (*result) {
+    case attempt_result::answered:
+    case attempt_result::failed:
+        state->failures_in_row = 0;
+        state->failure_share += detail::failure_weight *
+                                ((*result == attempt_result::failed ? 1.0 : 0.0) - state->failure_share);
+        break;
+    case attempt_result::refused:
+        detail::avoid(*state, now + detail::refusal_avoidance);
+        break;
+    case attempt_result::misdirected:
+        detail::avoid(*state, now + detail::misdirection_avoidance);
+        break;
+    case attempt_result::unreachable:
+    case attempt_result::broken:
+    case attempt_result::silent:
+        detail::note_failure(*state, now);
+        break;
+    }
+}
+
+void backend_pool::note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts,
+                               time_point now) {
+    for (const prefix_hash hash : detail::prefix_hashes(parts)) {
+        m_prefixes.note_sent(id, hash, now);
+    }
+}
+
+double backend_pool::cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
+                                   time_point now) const {
+    double expected = 0;
+    double tokens = 0;
+    const auto hashes = detail::prefix_hashes(parts);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        tokens += static_cast<double>(parts[i].tokens.value());
+        const double probability = m_prefixes.probability(id, hashes[i], now);
+        if (probability <= 0) {
+            break;
+        }
+        expected = std::max(expected, tokens * probability);
+    }
+    return expected;
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/forwarder.cpp
@@ -0,0 +1,96 @@
+#include "forwarding/forwarded_request.hpp"
+
+namespace parsleypitch {
+
+forwarder::forwarder(backend_protocol protocol, forwarding_hooks hooks, forwarding_policy policy,
+                     availability_zone_id zone, std::shared_ptr<event_log> log,
+                     std::shared_ptr<metrics_registry> metrics)
+    : m_state(std::make_shared<state>()) {
+    m_state->protocol = std::move(protocol);
+    m_state->hooks = std::move(hooks);
+    m_state->policy = policy;
+    m_state->zone = std::move(zone);
+    m_state->log = std::move(log);
+    m_state->metrics = std::move(metrics);
+}
+
+forwarder::~forwarder() = default;
+
+void forwarder::adopt(std::shared_ptr<const route_table> routes) {
+    if (m_state->routes && routes->version() < m_state->routes->version()) {
+        m_state->log->warning("configuration_ignored", {{"version", routes->version()},
+                                                        {"in_force", m_state->routes->version()},
+                                                        {"reason", "older than the one in force"}});
+        return;
+    }
+    m_state->routes = std::move(routes);
+}
+
+void forwarder::adopt(std::shared_ptr<const fleet_snapshot> fleet) {
+    m_state->pool.adopt(std::move(fleet));
+}
+
+void forwarder::set_retry(retry_budget::config retry) {
+    m_state->policy.retry = retry;
+}
+
+void forwarder::handle(const std::shared_ptr<http::exchange>& exchange) {
+    auto request = std::make_shared<forwarded_request>(m_state, exchange);
+    m_state->requests.insert(request);
+    request->start();
+}
+
+http::response forwarder::fault_answer(http::parse_fault fault) const {
+    const errc code = fault == http::parse_fault::body_too_large     ? errc::body_too_large
+                      : fault == http::parse_fault::header_too_large ? errc::header_too_large
+                                                                     : errc::malformed_request;
+    m_state->count("parsleypitch_refusals_total", {{"reason", reason_name(make_error_code(code))}});
+    m_state->log->warning("request_unreadable", {{"reason", reason_name(make_error_code(code))}});
+    return refusal_response(request_id(), fail(code, "the message is no valid request"), run_state::not_run,
+                            duration::zero());
+}
+
+bool forwarder::ready() const {
+    return m_state->routes && m_state->pool.snapshot() != nullptr;
+}
+
+std::size_t forwarder::open_requests() const {
+    return m_state->requests.size();
+}
+
+const route_table* forwarder::routes() const {
+    return m_state->routes.get();
+}
+
+void forwarder::publish_beliefs() const {
+    const time_point now = m_state->hooks.now();
+    const auto gauge = [this](const char* metric, metric_labels labels, double value) {
+        m_state->metrics->set(metric_name(metric), labels, value);
+    };
+    gauge("parsleypitch_open_requests", {}, static_cast<double>(m_state->requests.size()));
+    if (m_state->routes) {
+        gauge("parsleypitch_config_version", {}, static_cast<double>(m_state->routes->version().value()));
+    }
+    if (const fleet_snapshot* fleet = m_state->pool.snapshot()) {
+        gauge("parsleypitch_fleet_age_seconds", {}, to_seconds(now - fleet->confirmed_at));
+    }
+    for (const auto& [service, budget] : m_state->budgets) {
+        gauge("parsleypitch_retry_budget", {{"service", service.str()}}, budget.available());
+    }
+    std::map<std::string, unsigned> by_state;
+    for (const auto& [id, server] : m_state->pool.all()) {
+        const char* condition = server.entry.draining      ? "draining"
+                                : now < server.avoid_until ? "avoided"
+                                : server.on_probation()    ? "probation"
+                                                           : "usable";
+        ++by_state[std::string(condition) + "," + std::string(to_string(server.entry.role))];
+    }
+    for (const std::string condition : {"draining", "avoided", "probation", "usable"}) {
+        for (const engine_role role : {engine_role::mixed, engine_role::prefill, engine_role::decode}) {
+            gauge("parsleypitch_backend_servers", {{"condition", condition}, {"role", std::string(to_string(role))}},
+                  by_state[condition + "," + std::string(to_string(role))]);
+        }
+    }
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/forwarder_state.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <parsleypitch/forwarding/forwarder.hpp>
+
+#include <unordered_set>
+
+namespace parsleypitch {
+
+class forwarded_request;
+
+/// @brief What all requests of a forwarder share.
+struct forwarder::state {
+    backend_protocol protocol;
+    forwarding_hooks hooks;
+    forwarding_policy policy;
+    availability_zone_id zone;
+    std::shared_ptr<event_log> log;
+    std::shared_ptr<metrics_registry> metrics;
+    std::shared_ptr<const route_table> routes;
+    backend_pool pool;
+    std::map<backend_service_id, retry_budget> budgets;
+    std::unordered_set<std::shared_ptr<forwarded_request>> requests;
+
+    [[nodiscard]] retry_budget& budget_of(const backend_service_id& service) {
+        return budgets.try_emplace(service, policy.retry).first->second;
+    }
+    void count(const char* metric, metric_labels labels) const {
+        metrics->count(metric_name(metric), labels);
+    }
+};
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/placement.cpp
@@ -0,0 +1,267 @@
+#include <parsleypitch/core/hash.hpp>
+#include <parsleypitch/forwarding/placement.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <span>
+
+namespace parsleypitch {
+
+namespace detail {
+
+constexpr double tokens_per_million = 1e6;
+constexpr double bits_per_byte = 8;
+constexpr double ms_per_second = 1000;
+
+bool is_excluded(const backend_state& candidate, const placement_constraints& constraints) {
+    return std::find(constraints.excluded.begin(), constraints.excluded.end(), candidate.entry.id) !=
+           constraints.excluded.end();
+}
+
+bool is_healthy(const backend_state& candidate, const placement_constraints& constraints, duration silence,
+                time_point now) {
+    if (now < candidate.avoid_until) {
+        return false;
+    }
+    if (candidate.waiting_since && now - *candidate.waiting_since > silence) {
+        return false;
+    }
+    return !candidate.on_probation() || (candidate.running == 0 && !constraints.careful);
+}
+
+/// The healthy candidates, or all that were not tried if none is healthy.
+std::vector<const backend_state*> candidates(const backend_pool& pool, const backend_service_id& service,
+                                             const placement_constraints& constraints, duration silence,
+                                             time_point now) {
+    std::vector<const backend_state*> untried;
+    std::vector<const backend_state*> healthy;
+    for (const backend_state* each : pool.of(service)) {
+        if (is_excluded(*each, constraints)) {
+            continue;
+        }
+        untried.push_back(each);
+        if (is_healthy(*each, constraints, silence, now)) {
+            healthy.push_back(each);
+        }
+    }
+    return healthy.empty() ? untried : healthy;
+}
+
+/// The shared parts of a prompt: all but the last, which belongs to one request or session.
+std::span<const prompt_part> shared_parts(const generation_work& work) {
+    return std::span(work.parts).first(work.parts.empty() ? 0 : work.parts.size() - 1);
+}
+
+/// The engine at which requests with these shared parts gather: rendezvous hashing moves few of them when
+/// engines come and go.
+const backend_state* home_of(std::span<const backend_state* const> engines,
+                             std::span<const prompt_part> shared) {
+    if (shared.empty()) {
+        return nullptr;
+    }
+    const std::uint64_t subject = hash_bytes(shared.back().id.str());
+    const backend_state* home = nullptr;
+    std::uint64_t highest = 0;
+    for (const backend_state* each : engines) {
+        const std::uint64_t weight = hash_bytes(each->entry.id.str(), subject);
+        if (home == nullptr || weight > highest) {
+            home = each;
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+double read_ms(const backend_state& engine, double cached, double prompt, const placement_policy& policy) {
+    const double uncached = std::max(1.0, prompt - cached);
+    const double pairs = uncached * (cached + uncached / 2);
+    const double idle = uncached / policy.prefill_tokens_per_ms +
+                        pairs / tokens_per_million * policy.attention_ms_per_million_pairs;
+    return engine.entry.role == engine_role::decode ? idle * policy.decode_read_factor : idle;
+}
+
+double wait_ms(const backend_state& engine, const placement_policy& policy, time_point now) {
+    return engine.queued_prefill_ms * policy.queue_share_factor + engine.recent_excess_ms(now);
+}
+
+double transfer_ms(double tokens, bool same_zone, const engine_figures& figures,
+                   const placement_policy& policy) {
+    const double bits = tokens * static_cast<double>(figures.token_kv.value()) * bits_per_byte;
+    const double on_link = bits / figures.link_bits_per_second * ms_per_second;
+    return policy.transfer_setup_ms + on_link * (same_zone ? 1 : policy.transfer_zone_factor);
+}
+
+placed_engine describe(const backend_state& engine) {
+    return {engine.entry.id, engine.entry.address, engine.entry.zone};
+}
+
+/// Evaluates engines for one prompt.
+class generation_placer {
+  public:
+    generation_placer(const backend_pool& pool, const backend_service& service, const generation_work& work,
+                      const placement_constraints& constraints, const placement_policy& policy,
+                      time_point now)
+        : m_pool(pool), m_figures(service.engine.value_or(engine_figures{})), m_work(work),
+          m_constraints(constraints), m_policy(policy), m_now(now) {
+        for (const backend_state* each :
+             candidates(pool, service.id, constraints, policy.engine_silence, now)) {
+            (each->entry.role == engine_role::prefill ? m_prefill : m_decode).push_back(each);
+        }
+        m_prefill_home = home_of(m_prefill, shared_parts(work));
+        m_decode_home = home_of(m_decode, shared_parts(work));
+    }
+
+    [[nodiscard]] std::optional<generation_placement> best() const {
+        std::optional<generation_placement> chosen;
+        double lowest = std::numeric_limits<double>::max();
+        const auto consider = [&chosen, &lowest](generation_placement plan, double penalty) {
+            if (const double score = plan.first_token_ms + penalty; score < lowest) {
+                lowest = score;
+                chosen = std::move(plan);
+            }
+        };
+        for (const backend_state* decode : m_decode) {
+            consider(whole_on(*decode), zone_penalty(*decode));
+        }
+        if (!m_constraints.without_prefill) {
+            for (const backend_state* prefill : m_prefill) {
+                if (const backend_state* decode = least_loaded_near(prefill->entry.zone)) {
+                    consider(split_over(*prefill, *decode), split_penalty(*prefill, *decode));
+                }
+            }
+        }
+        return chosen;
+    }
+
+  private:
+    [[nodiscard]] double zone_penalty(const backend_state& engine) const {
+        return engine.entry.zone == m_constraints.own_zone ? 0 : m_policy.zone_penalty_ms;
+    }
+    [[nodiscard]] double split_penalty(const backend_state& prefill, const backend_state& decode) const {
+        const double transfer = prefill.entry.zone == decode.entry.zone ? 1 : m_policy.transfer_zone_factor;
+        return zone_penalty(prefill) + zone_penalty(decode) + transfer * m_policy.transfer_penalty_ms;
+    }
+    [[nodiscard]] double zone_delay(const backend_state& engine) const {
+        return engine.entry.zone == m_constraints.own_zone ? 0 : m_policy.zone_ms;
+    }
+
+    [[nodiscard]] placed_engine reading(const backend_state& engine) const {
+        placed_engine placed = describe(engine);
+        placed.cached_tokens = m_pool.cached_tokens(engine.entry.id, m_work.parts, m_now);
+        if (&engine == m_prefill_home || &engine == m_decode_home) {
+            double shared = 0;
+            for (const prompt_part& part : shared_parts(m_work)) {
+                shared += static_cast<double>(part.tokens.value());
+            }
+            placed.cached_tokens = std::max(placed.cached_tokens, shared * m_policy.home_hit_rate);
+        }
+        placed.prefill_ms =
+            read_ms(engine, placed.cached_tokens, static_cast<double>(m_work.prompt.value()), m_policy);
+        placed.wait_ms = wait_ms(engine, m_policy, m_now);
+        return placed;
+    }
+
+    [[nodiscard]] double first_step_ms(const backend_state& decode) const {
+        return m_policy.step_ms + m_policy.step_ms_per_request * decode.running;
+    }
+
+    [[nodiscard]] generation_placement whole_on(const backend_state& decode) const {
+        generation_placement plan;
+        plan.decode = reading(decode);
+        plan.first_token_ms =
+            plan.decode.wait_ms + plan.decode.prefill_ms + first_step_ms(decode) + zone_delay(decode);
+        return plan;
+    }
+
+    [[nodiscard]] generation_placement split_over(const backend_state& prefill,
+                                                  const backend_state& decode) const {
+        generation_placement plan;
+        plan.prefill = reading(prefill);
+        plan.decode = describe(decode);
+        const double transfer = transfer_ms(static_cast<double>(m_work.prompt.value()),
+                                            prefill.entry.zone == decode.entry.zone, m_figures, m_policy);
+        plan.first_token_ms = plan.prefill->wait_ms + plan.prefill->prefill_ms + transfer +
+                              first_step_ms(decode) + zone_delay(prefill) + zone_delay(decode);
+        return plan;
+    }
+
+    [[nodiscard]] const backend_state* least_loaded_near(const availability_zone_id& zone) const {
+        const backend_state* chosen = nullptr;
+        double lowest = std::numeric_limits<double>::max();
+        for (const backend_state* each : m_decode) {
+            const double zone_cost = each->entry.zone == zone ? 0 : m_policy.transfer_penalty_ms;
+            const double load = first_step_ms(*each) + each->recent_excess_ms(m_now) +
+                                each->queued_prefill_ms + zone_cost;
+            if (load < lowest) {
+                lowest = load;
+                chosen = each;
+            }
+        }
+        return chosen;
+    }
+
+    const backend_pool& m_pool;
+    engine_figures m_figures;
+    const generation_work& m_work;
+    const placement_constraints& m_constraints;
+    const placement_policy& m_policy;
+    time_point m_now;
+    std::vector<const backend_state*> m_prefill;
+    std::vector<const backend_state*> m_decode; // decode and mixed engines
+    const backend_state* m_prefill_home = nullptr;
+    const backend_state* m_decode_home = nullptr;
+};
+
+} // namespace detail
+
+std::optional<generation_placement> place_generation(const backend_pool& pool, const backend_service& service,
+                                                     const generation_work& work,
+                                                     const placement_constraints& constraints,
+                                                     const placement_policy& policy, time_point now) {
+    return detail::generation_placer(pool, service, work, constraints, policy, now).best();
+}
+
+std::optional<placed_engine> place_decode(const backend_pool& pool, const backend_service& service,
+                                          const availability_zone_id& prefill_zone,
+                                          const placement_constraints& constraints,
+                                          const placement_policy& policy, time_point now) {
+    const backend_state* chosen = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    for (const backend_state* each :
+         detail::candidates(pool, service.id, constraints, policy.engine_silence, now)) {
+        if (each->entry.role == engine_role::prefill) {
+            continue;
+        }
+        const double zone_cost = each->entry.zone == prefill_zone ? 0 : policy.transfer_penalty_ms;
+        const double load = policy.step_ms_per_request * each->running + each->recent_excess_ms(now) +
+                            each->queued_prefill_ms + zone_cost;
+        if (load < lowest) {
+            lowest = load;
+            chosen = each;
+        }
+    }
+    return chosen == nullptr ? std::nullopt : std::optional(detail::describe(*chosen));
+}
+
+std::optional<placed_engine> place_call(const backend_pool& pool, const backend_service_id& service,
+                                        const placement_constraints& constraints,
+                                        const placement_policy& policy, time_point now) {
+    const backend_state* chosen = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    for (const backend_state* each :
+         detail::candidates(pool, service, constraints, policy.plain_silence, now)) {
+        const double zone = each->entry.zone == constraints.own_zone ? 0 : policy.zone_ms;
+        const double slots = static_cast<double>(std::max<std::uint64_t>(1, each->entry.slots));
+        // Work in flight of this host stands for that of all; half a second of failing answers is worth as much
+        // as a server with all its slots taken.
+        const double load = each->running * policy.queue_share_factor / slots + each->failure_share;
+        const double score = zone + load * 100 + each->recent_excess_ms(now);
+        if (score < lowest) {
+            lowest = score;
+            chosen = each;
+        }
+    }
+    return chosen == nullptr ? std::nullopt : std::optional(detail::describe(*chosen));
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/route_table.cpp
@@ -0,0 +1,62 @@
+#include <parsleypitch/forwarding/route_table.hpp>
+#include <parsleypitch/http/message.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace parsleypitch {
+
+std::string_view to_string(request_kind kind) noexcept {
+    switch (kind) {
+    case request_kind::idempotent:
+        return "idempotent";
+    case request_kind::at_most_once:
+        return "at_most_once";
+    case request_kind::stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+route_table::route_table(config_version version, std::vector<route> routes,
+                         std::vector<backend_service> services, caller_limits limits)
+    : m_version(version), m_routes(std::move(routes)), m_limits(limits) {
+    std::stable_sort(m_routes.begin(), m_routes.end(), [](const route& a, const route& b) {
+        return a.path_prefix.size() > b.path_prefix.size();
+    });
+    for (backend_service& each : services) {
+        backend_service_id id = each.id;
+        m_services.insert_or_assign(std::move(id), std::move(each));
+    }
+}
+
+const route* route_table::match(std::string_view host, std::string_view path) const {
+    const auto found = std::find_if(m_routes.begin(), m_routes.end(), [host, path](const route& each) {
+        return path.starts_with(each.path_prefix) && http::equals_ignoring_case(each.host, host);
+    });
+    return found == m_routes.end() ? nullptr : &*found;
+}
+
+const backend_service* route_table::find(const backend_service_id& id) const {
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+const backend_service_id* draw_service(const route& of, const random_hook& random) {
+    const std::uint64_t total = std::accumulate(
+        of.services.begin(), of.services.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const weighted_service& each) { return sum + each.weight; });
+    if (total == 0) {
+        return nullptr;
+    }
+    std::uint64_t drawn = of.services.size() == 1 ? 0 : random(total);
+    for (const weighted_service& each : of.services) {
+        if (drawn < each.weight) {
+            return &each.service;
+        }
+        drawn -= each.weight;
+    }
+    return nullptr;
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/src/http/parser.cpp
@@ -0,0 +1,225 @@
+#include <parsleypitch/http/parser.hpp>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace parsleypitch::http {
+
+namespace detail {
+
+namespace beast = boost::beast;
+using beast_string = beast::string_view;
+
+std::string text_of(beast_string text) {
+    return {text.data(), text.size()};
+}
+
+/// Collects what Beast's parser reports about one message.
+template <bool IsRequest>
+class collecting_parser final : public beast::http::basic_parser<IsRequest> {
+  public:
+    std::string method;
+    std::string target;
+    response_head head;
+    std::string body;
+    std::uint64_t body_size = 0;
+
+  private:
+    void on_request_impl(beast::http::verb /*verb*/, beast_string method_text, beast_string target_text,
+                         int /*version*/, beast::error_code& code) override {
+        method = text_of(method_text);
+        target = text_of(target_text);
+        code = {};
+    }
+    void on_response_impl(int status, beast_string reason, int /*version*/, beast::error_code& code) override {
+        head.status = static_cast<unsigned>(status);
+        head.reason = text_of(reason);
+        code = {};
+    }
+    void on_field_impl(beast::http::field /*field*/, beast_string name, beast_string value,
+                       beast::error_code& code) override {
+        if (!m_header_done) { // trailers are dropped
+            head.headers.add(text_of(name), text_of(value));
+        }
+        code = {};
+    }
+    void on_header_impl(beast::error_code& code) override {
+        m_header_done = true;
+        code = {};
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                           beast::error_code& code) override {
+        code = {};
+    }
+    std::size_t on_body_impl(beast_string part, beast::error_code& code) override {
+        return append(part, code);
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast_string /*extensions*/,
+                              beast::error_code& code) override {
+        code = {};
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, beast_string part,
+                                   beast::error_code& code) override {
+        return append(part, code);
+    }
+    void on_finish_impl(beast::error_code& code) override { code = {}; }
+
+    std::size_t append(beast_string part, beast::error_code& code) {
+        body.append(part.data(), part.size());
+        body_size += part.size();
+        code = {};
+        return part.size();
+    }
+
+    bool m_header_done = false;
+};
+
+template <bool IsRequest>
+void set_limits(collecting_parser<IsRequest>& parser, const message_limits& limits) {
+    parser.header_limit(static_cast<std::uint32_t>(limits.header.value()));
+    parser.body_limit(static_cast<std::uint64_t>(limits.body.value()));
+    parser.eager(true);
+}
+
+template <bool IsRequest>
+beast::error_code put(collecting_parser<IsRequest>& parser, std::string_view input, std::size_t& taken) {
+    beast::error_code code;
+    taken = 0;
+    while (taken < input.size() && !parser.is_done()) {
+        const std::size_t bytes =
+            parser.put(boost::asio::buffer(input.data() + taken, input.size() - taken), code);
+        taken += bytes;
+        if (code == beast::http::error::need_more) {
+            code = {};
+            if (bytes == 0) {
+                break;
+            }
+        }
+        if (code || bytes == 0) {
+            break;
+        }
+    }
+    return code;
+}
+
+/// Beast accepts some transfer codings without reading a body; another server could read one.
+bool framing_is_clear(const header_list& headers) {
+    const std::string* coding = headers.find("transfer-encoding");
+    if (headers.count("transfer-encoding") > 1 || (coding != nullptr && !equals_ignoring_case(*coding, "chunked"))) {
+        return false;
+    }
+    return headers.count("content-length") <= 1 &&
+           !(coding != nullptr && headers.count("content-length") == 1) && headers.count("host") == 1;
+}
+
+} // namespace detail
+
+struct request_parser::state {
+    explicit state(message_limits limits) { detail::set_limits(parser, limits); }
+
+    detail::collecting_parser<true> parser;
+    parse_fault fault = parse_fault::malformed;
+    bool framing_checked = false;
+};
+
+request_parser::request_parser(message_limits limits) : m_state(std::make_unique<state>(limits)) {
+}
+request_parser::~request_parser() = default;
+request_parser::request_parser(request_parser&&) noexcept = default;
+request_parser& request_parser::operator=(request_parser&&) noexcept = default;
+
+result<std::size_t> request_parser::parse(std::string_view input) {
+    std::size_t taken = 0;
+    const auto code = detail::put(m_state->parser, input, taken);
+    if (code == detail::beast::http::error::header_limit) {
+        m_state->fault = parse_fault::header_too_large;
+        return fail(errc::malformed_request, "header section is longer than allowed");
+    }
+    if (code == detail::beast::http::error::body_limit) {
+        m_state->fault = parse_fault::body_too_large;
+        return fail(errc::body_too_large, "body is longer than allowed");
+    }
+    if (code) {
+        return fail(errc::malformed_request, code.message());
+    }
+    if (m_state->parser.is_header_done() && !m_state->framing_checked) {
+        m_state->framing_checked = true;
+        if (!detail::framing_is_clear(m_state->parser.head.headers)) {
+            return fail(errc::malformed_request, "ambiguous length, transfer coding or host");
+        }
+    }
+    return taken;
+}
+
+bool request_parser::head_complete() const noexcept {
+    return m_state->parser.is_header_done();
+}
+bool request_parser::complete() const noexcept {
+    return m_state->parser.is_done();
+}
+
+bool request_parser::expects_continue() const {
+    const std::string* expectation = m_state->parser.head.headers.find("expect");
+    return expectation != nullptr && equals_ignoring_case(*expectation, "100-continue");
+}
+
+parse_fault request_parser::fault() const noexcept {
+    return m_state->fault;
+}
+
+request request_parser::take() {
+    auto& parser = m_state->parser;
+    return {std::move(parser.method), std::move(parser.target), std::move(parser.head.headers),
+            std::move(parser.body), parser.keep_alive()};
+}
+
+struct response_parser::state {
+    explicit state(message_limits limits) { detail::set_limits(parser, limits); }
+
+    detail::collecting_parser<false> parser;
+};
+
+response_parser::response_parser(message_limits limits, bool to_head)
+    : m_state(std::make_unique<state>(limits)) {
+    m_state->parser.skip(to_head);
+}
+response_parser::~response_parser() = default;
+response_parser::response_parser(response_parser&&) noexcept = default;
+response_parser& response_parser::operator=(response_parser&&) noexcept = default;
+
+result<std::size_t> response_parser::parse(std::string_view input) {
+    std::size_t taken = 0;
+    const bool had_head = m_state->parser.is_header_done();
+    const auto code = detail::put(m_state->parser, input, taken);
+    if (code) {
+        return fail(errc::backend_broken, code.message());
+    }
+    if (!had_head && m_state->parser.is_header_done()) {
+        m_state->parser.head.keep_alive = m_state->parser.keep_alive();
+        m_state->parser.head.ends_with_connection = m_state->parser.need_eof();
+    }
+    return taken;
+}
+
+result<void> response_parser::parse_end() {
+    detail::beast::error_code code;
+    m_state->parser.put_eof(code);
+    if (code || !m_state->parser.is_done()) {
+        return fail(errc::backend_broken, "connection ended within a response");
+    }
+    return success();
+}
+
+bool response_parser::head_complete() const noexcept {
+    return m_state->parser.is_header_done();
+}
+bool response_parser::complete() const noexcept {
+    return m_state->parser.is_done();
+}
+const response_head& response_parser::head() const noexcept {
+    return m_state->parser.head;
+}
+std::string response_parser::take_body() {
+    return std::exchange(m_state->parser.body, {});
+}
+
+} // namespace parsleypitch::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,436 @@
+#include "net/address.hpp"
+
+#include <parsleypitch/http/server.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <deque>
+#include <unordered_set>
+
+namespace parsleypitch::http {
+
+using asio::ip::tcp;
+
+namespace detail {
+
+constexpr int listen_backlog = 1024;
+/// Connections are checked against their deadlines this often.
+constexpr milliseconds sweep_period{250};
+/// After the last answer of a connection its input is read and dropped this long: closing it with unread bytes
+/// would reset it and could destroy the answer on its way.
+constexpr milliseconds linger_time{1000};
+constexpr std::size_t read_size = 16'384;
+/// Bytes of pipelined requests that are kept while one request is being answered.
+constexpr std::size_t read_ahead_limit = 65'536;
+
+class server_connection;
+
+} // namespace detail
+
+struct server::state : std::enable_shared_from_this<server::state> {
+    state(asio::io_context& io, request_handler on_request, fault_answer_hook on_fault)
+        : context(&io), acceptor(io), sweep_timer(io), retry_timer(io), handler(std::move(on_request)),
+          fault_answer(std::move(on_fault)) {}
+
+    void accept();
+    void sweep();
+
+    asio::io_context* context;
+    tcp::acceptor acceptor;
+    asio::steady_timer sweep_timer;
+    asio::steady_timer retry_timer;
+    request_handler handler;
+    fault_answer_hook fault_answer;
+    server_limits limits;
+    bool draining = false;
+    bool stopped = false;
+    std::unordered_set<std::shared_ptr<detail::server_connection>> connections;
+};
+
+namespace detail {
+
+class server_exchange;
+
+/// One client connection: it reads, runs one exchange at a time, and writes.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+  public:
+    server_connection(tcp::socket socket, std::shared_ptr<server::state> owner)
+        : m_socket(std::move(socket)), m_owner(std::move(owner)) {}
+
+    void start() {
+        m_deadline = std::chrono::steady_clock::now() + m_owner->limits.idle_timeout;
+        read();
+    }
+    void check_deadline(time_point now);
+    void close();
+    void close_if_idle() {
+        if (m_phase == phase::idle && m_input.empty()) {
+            close();
+        }
+    }
+
+    void send(std::string bytes);
+    /// Ends the current exchange; the connection goes on with the next request or closes.
+    void finish(bool keep);
+    [[nodiscard]] bool keeps_alive() const { return m_keep_alive && !m_owner->draining; }
+
+  private:
+    enum class phase { idle, head, body, answering, lingering, closed };
+
+    void read();
+    void on_read(const std::error_code& code, std::size_t bytes);
+    void parse();
+    void refuse(parse_fault fault);
+    void dispatch();
+    void write();
+    void linger();
+
+    tcp::socket m_socket;
+    std::shared_ptr<server::state> m_owner;
+    phase m_phase = phase::idle;
+    time_point m_deadline;
+    std::array<char, read_size> m_buffer{};
+    bool m_reading = false;
+    std::string m_input;
+    std::optional<request_parser> m_parser;
+    bool m_continue_sent = false;
+    bool m_keep_alive = true;
+    std::shared_ptr<server_exchange> m_exchange;
+    std::string m_output;
+    std::string m_writing;
+    bool m_close_after_write = false;
+};
+
+class server_exchange final : public exchange {
+  public:
+    server_exchange(std::shared_ptr<server_connection> connection, request message)
+        : m_connection(std::move(connection)), m_message(std::move(message)),
+          m_received_at(std::chrono::steady_clock::now()) {}
+
+    [[nodiscard]] request& message() override { return m_message; }
+    [[nodiscard]] time_point received_at() const override { return m_received_at; }
+    void on_gone(std::function<void()> hook) override { m_on_gone = std::move(hook); }
+
+    void respond(response answer) override {
+        if (const auto connection = release()) {
+            const bool keep = connection->keeps_alive();
+            connection->send(serialize(answer, keep));
+            connection->finish(keep);
+        }
+    }
+    void begin(const response_head& head) override {
+        if (m_connection) {
+            m_keep = m_connection->keeps_alive();
+            m_connection->send(serialize_chunked_head(head, m_keep));
+        }
+    }
+    void write(std::string_view part) override {
+        if (m_connection && !part.empty()) {
+            m_connection->send(frame_chunk(part));
+        }
+    }
+    void end() override {
+        if (const auto connection = release()) {
+            connection->send(std::string(last_chunk));
+            connection->finish(m_keep);
+        }
+    }
+    void abort() override {
+        if (const auto connection = release()) {
+            connection->close();
+        }
+    }
+
+    /// The connection was closed by the client or by a deadline.
+    void gone() {
+        m_connection.reset();
+        if (const auto hook = std::exchange(m_on_gone, nullptr)) {
+            hook();
+        }
+    }
+
+  private:
+    std::shared_ptr<server_connection> release() {
+        m_on_gone = nullptr;
+        return std::exchange(m_connection, nullptr);
+    }
+
+    std::shared_ptr<server_connection> m_connection;
+    request m_message;
+    time_point m_received_at;
+    std::function<void()> m_on_gone;
+    bool m_keep = false;
+};
+
+void server_connection::read() {
+    if (m_reading || m_phase == phase::closed ||
+        (m_phase == phase::answering && m_input.size() >= read_ahead_limit)) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             [self = shared_from_this()](const std::error_code& code, std::size_t bytes) {
+                                 self->m_reading = false;
+                                 self->on_read(code, bytes);
+                             });
+}
+
+void server_connection::on_read(const std::error_code& code, std::size_t bytes) {
+    if (m_phase == phase::closed) {
+        return;
+    }
+    if (code) {
+        close();
+        return;
+    }
+    if (m_phase != phase::lingering) {
+        m_input.append(m_buffer.data(), bytes);
+        parse();
+    }
+    read();
+}
+
+void server_connection::parse() {
+    while (!m_input.empty() && (m_phase == phase::idle || m_phase == phase::head || m_phase == phase::body)) {
+        const time_point now = std::chrono::steady_clock::now();
+        if (m_phase == phase::idle) {
+            m_parser.emplace(m_owner->limits.message);
+            m_continue_sent = false;
+            m_phase = phase::head;
+            m_deadline = now + m_owner->limits.header_timeout;
+        }
+        const auto taken = m_parser->parse(m_input);
+        if (!taken) {
+            refuse(m_parser->fault());
+            return;
+        }
+        m_input.erase(0, taken.value());
+        if (m_parser->complete()) {
+            dispatch();
+            continue;
+        }
+        if (m_parser->head_complete()) {
+            m_phase = phase::body;
+            m_deadline = now + m_owner->limits.idle_timeout;
+            if (!m_continue_sent && m_parser->expects_continue()) {
+                m_continue_sent = true;
+                send("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        return;
+    }
+}
+
+void server_connection::refuse(parse_fault fault) {
+    send(serialize(m_owner->fault_answer(fault), false));
+    m_phase = phase::answering;
+    finish(false);
+}
+
+void server_connection::dispatch() {
+    request message = m_parser->take();
+    m_parser.reset();
+    m_keep_alive = message.keep_alive;
+    m_phase = phase::answering;
+    m_deadline = time_point::max();
+    m_exchange = std::make_shared<server_exchange>(shared_from_this(), std::move(message));
+    m_owner->handler(m_exchange);
+}
+
+void server_connection::send(std::string bytes) {
+    if (m_phase == phase::closed) {
+        return;
+    }
+    m_output.append(bytes);
+    if (m_output.size() > static_cast<std::size_t>(m_owner->limits.unsent.value())) {
+        close();
+        return;
+    }
+    write();
+}
+
+void server_connection::write() {
+    if (!m_writing.empty() || m_output.empty() || m_phase == phase::closed) {
+        return;
+    }
+    m_writing = std::exchange(m_output, {});
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const std::error_code& code, std::size_t) {
+                          self->m_writing.clear();
+                          if (code) {
+                              self->close();
+                              return;
+                          }
+                          self->write();
+                          if (self->m_close_after_write && self->m_writing.empty()) {
+                              self->linger();
+                          }
+                      });
+}
+
+void server_connection::finish(bool keep) {
+    m_exchange.reset();
+    if (m_phase == phase::closed) {
+        return;
+    }
+    if (!keep) {
+        m_phase = phase::lingering;
+        m_deadline = std::chrono::steady_clock::now() + m_owner->limits.idle_timeout;
+        m_close_after_write = true;
+        if (m_writing.empty() && m_output.empty()) {
+            linger();
+        }
+        return;
+    }
+    m_phase = phase::idle;
+    m_deadline = std::chrono::steady_clock::now() + m_owner->limits.idle_timeout;
+    // Parsed from the event loop, so that a handler that answers at once does not recurse.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->parse();
+        self->read();
+    });
+}
+
+void server_connection::linger() {
+    std::error_code ignored; // the peer may have closed the connection already
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_input.clear();
+    m_deadline = std::chrono::steady_clock::now() + linger_time;
+    read();
+}
+
+void server_connection::check_deadline(time_point now) {
+    if (now < m_deadline || m_phase == phase::closed) {
+        return;
+    }
+    close();
+}
+
+void server_connection::close() {
+    if (m_phase == phase::closed) {
+        return;
+    }
+    m_phase = phase::closed;
+    std::error_code ignored; // closing an already failed socket is no new failure
+    m_socket.close(ignored);
+    const auto ended = std::exchange(m_exchange, nullptr);
+    m_owner->connections.erase(shared_from_this());
+    if (ended) {
+        ended->gone();
+    }
+}
+
+} // namespace detail
+
+void server::state::accept() {
+    acceptor.async_accept([self = shared_from_this()](const std::error_code& code, tcp::socket socket) {
+        if (self->stopped) {
+            return;
+        }
+        if (code) {
+            // Out of descriptors: accepting again at once would fail again.
+            self->retry_timer.expires_after(detail::sweep_period);
+            self->retry_timer.async_wait([self](const std::error_code& cancelled) {
+                if (!cancelled) {
+                    self->accept();
+                }
+            });
+            return;
+        }
+        std::error_code ignored; // a socket that is already reset fails on its first read
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<detail::server_connection>(std::move(socket), self);
+        self->connections.insert(connection);
+        connection->start();
+        self->accept();
+    });
+}
+
+void server::state::sweep() {
+    sweep_timer.expires_after(detail::sweep_period);
+    sweep_timer.async_wait([self = shared_from_this()](const std::error_code& code) {
+        if (code || self->stopped) {
+            return;
+        }
+        const time_point now = std::chrono::steady_clock::now();
+        const auto current = self->connections;
+        for (const auto& connection : current) {
+            connection->check_deadline(now);
+        }
+        self->sweep();
+    });
+}
+
+server::server(asio::io_context& context, request_handler handler, fault_answer_hook fault_answer)
+    : m_state(std::make_shared<state>(context, std::move(handler), std::move(fault_answer))) {
+}
+
+server::~server() {
+    stop();
+}
+
+result<void> server::listen(const endpoint& at) {
+    const net::host_and_port address = net::split(at);
+    std::error_code code;
+    const auto ip = asio::ip::make_address(address.host, code);
+    if (code) {
+        return fail(errc::bind_failed, at.str() + ": " + code.message());
+    }
+    const tcp::endpoint local(ip, static_cast<unsigned short>(address.port));
+    tcp::acceptor& acceptor = m_state->acceptor;
+    if (acceptor.open(local.protocol(), code); !code) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    }
+    if (!code) {
+        acceptor.bind(local, code);
+    }
+    if (!code) {
+        acceptor.listen(detail::listen_backlog, code);
+    }
+    if (code) {
+        return fail(errc::bind_failed, at.str() + ": " + code.message());
+    }
+    m_state->accept();
+    m_state->sweep();
+    return success();
+}
+
+void server::set_limits(const server_limits& limits) {
+    m_state->limits = limits;
+}
+
+void server::drain() {
+    m_state->draining = true;
+}
+
+void server::close_idle() {
+    const auto current = m_state->connections;
+    for (const auto& connection : current) {
+        connection->close_if_idle();
+    }
+}
+
+void server::stop() {
+    if (m_state->stopped) {
+        return;
+    }
+    m_state->stopped = true;
+    std::error_code ignored; // nothing is left to do with the listener
+    m_state->acceptor.close(ignored);
+    m_state->sweep_timer.cancel();
+    m_state->retry_timer.cancel();
+    const auto current = m_state->connections;
+    for (const auto& connection : current) {
+        connection->close();
+    }
+}
+
+std::size_t server::connections() const {
+    return m_state->connections.size();
+}
+
+} // namespace parsleypitch::http
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -70,6 +70,10 @@
     return found == m_services.end() ? nullptr : *found;
 }
 
+asio::io_context& kernel::control_context() {
+    return m_threads->control;
+}
+
 void kernel::post_control(std::function<void()> task) {
     asio::post(m_threads->control, std::move(task));
 }
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -41,6 +41,8 @@
     case errc::backend_broken:
     case errc::backend_overloaded:
     case errc::backend_leaving:
+    case errc::backend_silent:
+    case errc::backend_failed:
     case errc::agent_unreachable:
     case errc::agent_broken:
         return true;
--- /dev/null
+++ b/src/serving/serving_directory.cpp
@@ -0,0 +1,213 @@
+#include <parsleypitch/serving/serving_directory.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+namespace {
+
+/// Lapsed entries are dropped and the settings file is compared this often.
+constexpr milliseconds tick_period{500};
+
+const std::string servers_kind = "backend_servers";
+const std::string configurations_kind = "configurations";
+
+} // namespace
+
+serving_directory::serving_directory(serve_settings settings, platform_adapter adapter)
+    : m_settings(std::move(settings)), m_adapter(std::move(adapter)) {
+}
+
+service_name serving_directory::name() const {
+    return serving_directory_name();
+}
+
+result<void> serving_directory::start(kernel& host) {
+    BOOST_OUTCOME_TRY(log, host.find<event_log>(event_log_service_name()));
+    BOOST_OUTCOME_TRY(traffic, host.find<serving_traffic>(serving_traffic_name()));
+    m_kernel = &host;
+    m_log = log;
+    m_traffic = traffic;
+    host.post_control([this] { open(*m_kernel); });
+    host.every(tick_period, [this] { tick(); });
+    return success();
+}
+
+void serving_directory::open(kernel& host) {
+    m_access = m_adapter.open_directory(host.control_context(), m_settings.store);
+    watcher_hooks servers = hooks_for(host, servers_kind);
+    servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
+    servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
+    m_servers = std::make_shared<kind_watcher>(m_access.servers, std::move(servers));
+    watcher_hooks configurations = hooks_for(host, configurations_kind);
+    configurations.listed = [this](const std::vector<directory_object>& all, object_version) {
+        contact(configurations_kind, true, "");
+        std::for_each(all.begin(), all.end(), [this](const auto& object) { on_configuration(object); });
+    };
+    configurations.changed = [this](const object_event_batch& batch) {
+        contact(configurations_kind, true, "");
+        for (const object_event& event : batch.events) {
+            if (!event.removed) {
+                on_configuration(event.object);
+            }
+        }
+    };
+    m_configurations = std::make_shared<kind_watcher>(m_access.configurations, std::move(configurations));
+    m_servers->start();
+    m_configurations->start();
+}
+
+watcher_hooks serving_directory::hooks_for(kernel& host, const std::string& kind) {
+    watcher_hooks hooks;
+    hooks.failed = [this, kind](const error& why, duration) {
+        contact(kind, false, to_string(why));
+        if (kind == servers_kind) {
+            m_fleet.contact_lost(std::chrono::steady_clock::now());
+        }
+    };
+    hooks.schedule = [&host](duration delay, std::function<void()> task) {
+        host.post_control_after(delay, std::move(task));
+    };
+    hooks.random = seeded_random_hook(random_seed());
+    return hooks;
+}
+
+void serving_directory::contact(const std::string& kind, bool reached, const std::string& reason) {
+    if (reached && m_unreachable.erase(kind) > 0) {
+        m_log->info("dependency_regained", {{"dependency", "store"}, {"kind", kind}});
+    }
+    if (!reached && m_unreachable.insert(kind).second) {
+        m_log->warning("dependency_lost", {{"dependency", "store"},
+                                           {"kind", kind},
+                                           {"reason", reason},
+                                           {"config_version", m_version},
+                                           {"fleet_revision", m_fleet.snapshot().revision}});
+    }
+}
+
+void serving_directory::on_servers_listed(const std::vector<directory_object>& all, object_version as_of) {
+    contact(servers_kind, true, "");
+    std::vector<backend_server_entry> entries;
+    for (const directory_object& object : all) {
+        if (auto entry = m_access.decode_server(object)) {
+            entries.push_back(std::move(entry.value()));
+        } else if (m_refused.insert(object.name).second) {
+            m_log->warning("server_entry_refused", {{"entry", object.name}, {"reason", entry.error().detail}});
+        }
+    }
+    m_fleet.replace(std::move(entries), as_of, std::chrono::steady_clock::now());
+    publish_fleet();
+}
+
+void serving_directory::on_servers_changed(const object_event_batch& batch) {
+    contact(servers_kind, true, "");
+    const time_point now = std::chrono::steady_clock::now();
+    for (const object_event& event : batch.events) {
+        const backend_server_id id(event.object.name.str());
+        if (event.removed) {
+            m_log->info("server_entry_removed", {{"server", id}, {"revision", event.object.revision}});
+            // The revision of the removal may not be stated; it is never older than the batch's.
+            m_fleet.remove(id, std::max(event.object.revision, batch.as_of), now);
+            continue;
+        }
+        if (auto entry = m_access.decode_server(event.object)) {
+            m_fleet.update(std::move(entry.value()), now);
+        } else if (m_refused.insert(event.object.name).second) {
+            m_log->warning("server_entry_refused",
+                           {{"entry", event.object.name}, {"reason", entry.error().detail}});
+        }
+    }
+    m_fleet.confirm(batch.as_of, now);
+    publish_fleet();
+}
+
+void serving_directory::publish_fleet() {
+    auto snapshot = std::make_shared<fleet_snapshot>(m_fleet.snapshot());
+    for (const backend_server_entry& entry : snapshot->servers) {
+        const auto same_id = [&entry](const backend_server_entry& other) { return other.id == entry.id; };
+        const auto known = std::find_if(m_published.begin(), m_published.end(), same_id);
+        if (known != m_published.end() && *known == entry) {
+            continue;
+        }
+        m_log->info("server_entry", {{"server", entry.id},
+                                     {"service", entry.service},
+                                     {"address", entry.address},
+                                     {"role", to_string(entry.role)},
+                                     {"draining", entry.draining},
+                                     {"born", entry.born},
+                                     {"revision", entry.revision}});
+    }
+    m_published = snapshot->servers;
+    m_traffic->adopt(std::shared_ptr<const fleet_snapshot>(std::move(snapshot)));
+}
+
+void serving_directory::on_configuration(const directory_object& object) {
+    if (!m_access.is_newest_configuration(object.name)) {
+        return;
+    }
+    auto decoded = m_access.decode_configuration(object);
+    if (!decoded) {
+        m_log->warning("configuration_refused",
+                       {{"revision", object.revision}, {"reason", to_string(decoded.error())}});
+        return;
+    }
+    auto table = std::make_shared<const route_table>(std::move(decoded.value()));
+    if (table->version() < m_version) {
+        m_log->warning("configuration_ignored", {{"version", table->version()}, {"in_force", m_version}});
+        return;
+    }
+    m_log->info("configuration_adopted", {{"version", table->version()},
+                                          {"before", m_version},
+                                          {"revision", object.revision},
+                                          {"routes", std::uint64_t{table->routes()}}});
+    m_version = table->version();
+    m_traffic->adopt(std::move(table));
+}
+
+void serving_directory::tick() {
+    if (m_fleet.expire(std::chrono::steady_clock::now())) {
+        publish_fleet();
+    }
+    apply_settings("file changed", false);
+}
+
+void serving_directory::reload(const std::string& cause) {
+    m_kernel->post_control([this, cause] { apply_settings(cause, true); });
+}
+
+void serving_directory::apply_settings(const std::string& cause, bool log_unchanged) {
+    const auto loaded = m_adapter.load_settings();
+    if (!loaded) {
+        if (log_unchanged) {
+            m_log->warning("settings_refused", {{"cause", cause}, {"reason", to_string(loaded.error())}});
+        }
+        return;
+    }
+    const bool changed = !(loaded.value() == m_settings);
+    if (changed || log_unchanged) {
+        m_log->info("settings_reloaded", {{"cause", cause}, {"changed", changed}});
+    }
+    if (!changed) {
+        return;
+    }
+    m_settings = loaded.value();
+    if (m_access.move_to) {
+        m_access.move_to(m_settings.store);
+    }
+    m_traffic->adopt(m_settings);
+}
+
+void serving_directory::stop() {
+    if (m_servers) {
+        m_servers->stop();
+    }
+    if (m_configurations) {
+        m_configurations->stop();
+    }
+}
+
+service_name serving_directory_name() {
+    return service_name("serving_directory");
+}
+
+} // namespace parsleypitch
