Keep prompts off decode engines and let busy engines finish

Logs show 20 to 70 ms from the end of a prefill to the first event, but over 500 ms for a quarter of them: decode engines were reading other prompts. A prefill that took 1.2 s longer than estimated was given up and begun anew. Ruled out: the network (5 ms), the entry host's processor (0.007 of 0.19 core). Change: a placement counts what reading delays on a decode engine; the fixed time of a prompt (90 ms, the least that was seen) is part of the estimate; an engine that answers other requests is not given up.

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -41,6 +41,7 @@
     time_point excess_at;
     /// @brief Since when an answer has been due without a byte from this server.
     std::optional<time_point> waiting_since;
+    time_point last_heard;
 
     /// @brief `excess_ms` with its decay up to `now`.
     [[nodiscard]] double recent_excess_ms(time_point now) const;
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -40,6 +40,8 @@
     double call_patience = 0.8;
     /// @brief A resumable stream without an event goes to another engine after this time more than estimated.
     duration first_event_patience = milliseconds(1200);
+    /// @brief The same, while the engine answers other requests.
+    duration longest_first_event = milliseconds(3500);
     /// @brief A resumable stream that pauses for longer goes on at another engine.
     duration event_patience = milliseconds(1500);
     /// @brief Calls that may run at most once use connections that were in use this recently.
--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -16,6 +16,8 @@
     double attention_ms_per_million_pairs = 0.525;
     /// @brief A decode engine reads prompts slower than a prefill engine by this factor.
     double decode_read_factor = 2.0;
+    /// @brief Time that every prompt takes besides its tokens; the engine can do other work meanwhile.
+    double read_setup_ms = 90;
     /// @brief Time of one step of an engine, and what each running request adds.
     double step_ms = 4.55;
     double step_ms_per_request = 0.181;
@@ -28,6 +30,13 @@
     double zone_penalty_ms = 15;
     /// @brief Weight of the price of moving KV cache, as if it were time; it doubles across zones.
     double transfer_penalty_ms = 30;
+    /// @brief Reading a prompt on a decode engine delays all its streams; weight of that time.
+    double interference_weight = 2.0;
+    /// @brief A decode engine with more prefill work than this makes its streams pause for too long.
+    double tolerated_interference_ms = 150;
+    double excess_interference_weight = 5.0;
+    /// @brief Weight of the price of reading a thousand shared tokens again, as if it were time.
+    double reread_penalty_ms_per_thousand = 20;
     /// @brief Other entry hosts send work too; own queued work is counted this many times.
     double queue_share_factor = 2.0;
     /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't know.
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -120,6 +120,7 @@
 
 void backend_pool::note_heard(const backend_server_id& id, time_point now) {
     if (backend_state* state = find(id)) {
+        state->last_heard = now;
         state->waiting_since = state->running > 1 ? std::optional(now) : std::nullopt;
     }
 }
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -274,7 +274,7 @@
     if (!m_first_event_after) {
         m_first_event_after = elapsed();
         const double took = detail::to_ms(now() - m_attempt->started);
-        const double expected = m_attempt->server.prefill_ms;
+        const double expected = m_attempt->server.prefill_ms + m_shared->policy.placement.read_setup_ms;
         m_shared->pool.note_prefilled(m_attempt->server.id, std::exchange(m_attempt->server.prefill_ms, 0));
         m_shared->pool.note_first_token(m_attempt->server.id, took - expected, now());
         if (m_call.work && !m_attempt->source) {
@@ -357,7 +357,8 @@
     }
     const double took = detail::to_ms(now() - m_attempt->started);
     m_shared->pool.note_prefilled(server.id, std::exchange(m_attempt->server.prefill_ms, 0));
-    m_shared->pool.note_first_token(server.id, took - server.prefill_ms, now());
+    m_shared->pool.note_first_token(server.id, took - server.prefill_ms - m_shared->policy.placement.read_setup_ms,
+                                    now());
     m_shared->pool.note_cached(server.id, m_call.work->parts, now());
     m_source = kv_source{server.address, handle.value()};
     settle(attempt_result::answered);
@@ -393,6 +394,14 @@
     if (!repeatable || !attempts_left || m_shared->budget_of(m_service->id).available() < 1) {
         return; // waiting is all that is left
     }
+    // An engine that answers others is busy, not gone; another one would begin the same work anew.
+    const backend_state* state = m_shared->pool.find(m_attempt->server.id);
+    const bool alive = state != nullptr && state->last_heard > m_attempt->started;
+    const duration waited = now() - m_attempt->started;
+    if (m_call.work && alive && !m_first_event_after && waited < m_shared->policy.longest_first_event) {
+        arm_patience(m_shared->policy.first_event_patience);
+        return;
+    }
     const bool reads_only = m_attempt->stage == attempt_stage::prefill;
     m_attempt->call.cancel();
     const std::string server = m_attempt->server.id.str();
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -121,12 +121,15 @@
             }
         };
         for (const backend_state* decode : m_decode) {
-            consider(whole_on(*decode), zone_penalty(*decode));
+            const generation_placement plan = whole_on(*decode);
+            consider(plan, zone_penalty(*decode) + interference_penalty(*decode, plan.decode) +
+                               reread_penalty(plan.decode));
         }
         if (!m_constraints.without_prefill) {
             for (const backend_state* prefill : m_prefill) {
                 if (const backend_state* decode = least_loaded_near(prefill->entry.zone)) {
-                    consider(split_over(*prefill, *decode), split_penalty(*prefill, *decode));
+                    const generation_placement plan = split_over(*prefill, *decode);
+                    consider(plan, split_penalty(*prefill, *decode) + reread_penalty(*plan.prefill));
                 }
             }
         }
@@ -141,6 +144,27 @@
         const double transfer = prefill.entry.zone == decode.entry.zone ? 1 : m_policy.transfer_zone_factor;
         return zone_penalty(prefill) + zone_penalty(decode) + transfer * m_policy.transfer_penalty_ms;
     }
+    /// Engines of the mixed role read prompts as fast as prefill engines, so little is delayed there.
+    [[nodiscard]] double interference_penalty(const backend_state& engine, const placed_engine& placed) const {
+        if (engine.entry.role != engine_role::decode) {
+            return 0;
+        }
+        const double work = placed.wait_ms + placed.prefill_ms;
+        return m_policy.interference_weight * placed.prefill_ms +
+               m_policy.excess_interference_weight *
+                   std::max(0.0, work - m_policy.tolerated_interference_ms);
+    }
+    [[nodiscard]] double reread_penalty(const placed_engine& placed) const {
+        const double missing = std::max(0.0, shared_tokens() - placed.cached_tokens);
+        return missing / 1000 * m_policy.reread_penalty_ms_per_thousand;
+    }
+    [[nodiscard]] double shared_tokens() const {
+        double shared = 0;
+        for (const prompt_part& part : shared_parts(m_work)) {
+            shared += static_cast<double>(part.tokens.value());
+        }
+        return shared;
+    }
     [[nodiscard]] double zone_delay(const backend_state& engine) const {
         return engine.entry.zone == m_constraints.own_zone ? 0 : m_policy.zone_ms;
     }
@@ -149,11 +173,7 @@
         placed_engine placed = describe(engine);
         placed.cached_tokens = m_pool.cached_tokens(engine.entry.id, m_work.parts, m_now);
         if (&engine == m_prefill_home || &engine == m_decode_home) {
-            double shared = 0;
-            for (const prompt_part& part : shared_parts(m_work)) {
-                shared += static_cast<double>(part.tokens.value());
-            }
-            placed.cached_tokens = std::max(placed.cached_tokens, shared * m_policy.home_hit_rate);
+            placed.cached_tokens = std::max(placed.cached_tokens, shared_tokens() * m_policy.home_hit_rate);
         }
         placed.prefill_ms =
             read_ms(engine, placed.cached_tokens, static_cast<double>(m_work.prompt.value()), m_policy);
@@ -168,8 +188,8 @@
     [[nodiscard]] generation_placement whole_on(const backend_state& decode) const {
         generation_placement plan;
         plan.decode = reading(decode);
-        plan.first_token_ms =
-            plan.decode.wait_ms + plan.decode.prefill_ms + first_step_ms(decode) + zone_delay(decode);
+        plan.first_token_ms = m_policy.read_setup_ms + plan.decode.wait_ms + plan.decode.prefill_ms +
+                              first_step_ms(decode) + zone_delay(decode);
         return plan;
     }
 
@@ -180,8 +200,8 @@
         plan.decode = describe(decode);
         const double transfer = transfer_ms(static_cast<double>(m_work.prompt.value()),
                                             prefill.entry.zone == decode.entry.zone, m_figures, m_policy);
-        plan.first_token_ms = plan.prefill->wait_ms + plan.prefill->prefill_ms + transfer +
-                              first_step_ms(decode) + zone_delay(prefill) + zone_delay(decode);
+        plan.first_token_ms = m_policy.read_setup_ms + plan.prefill->wait_ms + plan.prefill->prefill_ms +
+                              transfer + first_step_ms(decode) + zone_delay(prefill) + zone_delay(decode);
         return plan;
     }
 
