Fetch shared parts of prompts from the engine that keeps them

Ruled out: a heavier penalty alone, which only moves the waiting. Change: an engine that lacks the shared parts is told to fetch them from the engine that probably keeps them.

--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -62,6 +62,8 @@
     /// @brief Urgency among the requests of the engine, 0 is the most urgent; empty leaves it to the engine.
     std::optional<unsigned> urgency;
     std::optional<kv_source> source;
+    /// @brief Engine from which the target fetches what it lacks of the prompt; empty fetches nothing.
+    endpoint fetch_from;
     std::optional<stream_event_id> resume_after;
 };
 
--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -37,6 +37,8 @@
     double excess_interference_weight = 5.0;
     /// @brief Weight of the price of reading a thousand shared tokens again, as if it were time.
     double reread_penalty_ms_per_thousand = 20;
+    /// @brief Fewer missing tokens are read, not fetched.
+    double least_fetch_tokens = 256;
     /// @brief Other entry hosts send work too; own queued work is counted this many times.
     double queue_share_factor = 2.0;
     /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't know.
@@ -54,7 +56,11 @@
     /// @brief Prefill work that the request brings, without waiting.
     double prefill_ms = 0;
     double wait_ms = 0;
+    /// @brief Tokens of the prompt that need not be read, kept here or fetched.
     double cached_tokens = 0;
+    /// @brief Engine from which the shared parts that this one lacks are fetched; empty if there is none.
+    endpoint fetch_from;
+    double fetch_ms = 0;
 };
 
 struct generation_placement {
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -172,6 +172,7 @@
     spec.stage = next.stage;
     spec.time_left = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(m_deadline - now()));
     spec.source = next.source;
+    spec.fetch_from = next.server.fetch_from;
     spec.resume_after = m_last_event;
     if (m_call.work) {
         spec.urgency = std::min(m_route->urgency, 9U);
@@ -183,6 +184,7 @@
                                     {"expected_ms", next.expected_ms},
                                     {"wait_ms", next.server.wait_ms},
                                     {"cached_tokens", next.server.cached_tokens},
+                                    {"fetch_from", next.server.fetch_from},
                                     {"time_left_ms", spec.time_left.count()},
                                     {"fleet_revision", m_shared->pool.snapshot()->revision},
                                     {"fleet_age_ms", now() - m_shared->pool.snapshot()->confirmed_at},
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -109,6 +109,7 @@
         }
         m_prefill_home = home_of(m_prefill, shared_parts(work));
         m_decode_home = home_of(m_decode, shared_parts(work));
+        find_holder();
     }
 
     [[nodiscard]] std::optional<generation_placement> best() const {
@@ -123,13 +124,14 @@
         for (const backend_state* decode : m_decode) {
             const generation_placement plan = whole_on(*decode);
             consider(plan, zone_penalty(*decode) + interference_penalty(*decode, plan.decode) +
-                               reread_penalty(plan.decode));
+                               reread_penalty(plan.decode) + fetch_penalty(*decode, plan.decode));
         }
         if (!m_constraints.without_prefill) {
             for (const backend_state* prefill : m_prefill) {
                 if (const backend_state* decode = least_loaded_near(prefill->entry.zone)) {
                     const generation_placement plan = split_over(*prefill, *decode);
-                    consider(plan, split_penalty(*prefill, *decode) + reread_penalty(*plan.prefill));
+                    consider(plan, split_penalty(*prefill, *decode) + reread_penalty(*plan.prefill) +
+                                       fetch_penalty(*prefill, *plan.prefill));
                 }
             }
         }
@@ -169,11 +171,34 @@
         return engine.entry.zone == m_constraints.own_zone ? 0 : m_policy.zone_ms;
     }
 
+    /// Tokens at the front of the prompt that an engine keeps, from hints and from being home.
+    [[nodiscard]] double kept_by(const backend_state& engine) const {
+        const double hinted = m_pool.cached_tokens(engine.entry.id, m_work.parts, m_now);
+        const bool home = &engine == m_prefill_home || &engine == m_decode_home;
+        return home ? std::max(hinted, shared_tokens() * m_policy.home_hit_rate) : hinted;
+    }
+
+    /// The engine that most probably keeps the shared parts; others can fetch them from it.
+    void find_holder() {
+        for (const auto* engines : {&m_prefill, &m_decode}) {
+            for (const backend_state* each : *engines) {
+                const double kept = std::min(kept_by(*each), shared_tokens());
+                if (kept > m_holder_tokens) {
+                    m_holder = each;
+                    m_holder_tokens = kept;
+                }
+            }
+        }
+    }
+
     [[nodiscard]] placed_engine reading(const backend_state& engine) const {
         placed_engine placed = describe(engine);
-        placed.cached_tokens = m_pool.cached_tokens(engine.entry.id, m_work.parts, m_now);
-        if (&engine == m_prefill_home || &engine == m_decode_home) {
-            placed.cached_tokens = std::max(placed.cached_tokens, shared_tokens() * m_policy.home_hit_rate);
+        placed.cached_tokens = kept_by(engine);
+        const double missing = m_holder_tokens - placed.cached_tokens;
+        if (m_holder != nullptr && m_holder != &engine && missing > m_policy.least_fetch_tokens) {
+            placed.fetch_from = m_holder->entry.address;
+            placed.fetch_ms = transfer_ms(missing, m_holder->entry.zone == engine.entry.zone, m_figures, m_policy);
+            placed.cached_tokens = m_holder_tokens;
         }
         placed.prefill_ms =
             read_ms(engine, placed.cached_tokens, static_cast<double>(m_work.prompt.value()), m_policy);
@@ -181,6 +206,15 @@
         return placed;
     }
 
+    /// Weight of the price of fetching shared parts, as if it were time.
+    [[nodiscard]] double fetch_penalty(const backend_state& engine, const placed_engine& placed) const {
+        if (placed.fetch_from.empty()) {
+            return 0;
+        }
+        const bool same_zone = m_holder->entry.zone == engine.entry.zone;
+        return m_policy.transfer_penalty_ms * (same_zone ? 1 : m_policy.transfer_zone_factor);
+    }
+
     [[nodiscard]] double first_step_ms(const backend_state& decode) const {
         return m_policy.step_ms + m_policy.step_ms_per_request * decode.running;
     }
@@ -188,7 +222,7 @@
     [[nodiscard]] generation_placement whole_on(const backend_state& decode) const {
         generation_placement plan;
         plan.decode = reading(decode);
-        plan.first_token_ms = m_policy.read_setup_ms + plan.decode.wait_ms + plan.decode.prefill_ms +
+        plan.first_token_ms = m_policy.read_setup_ms + plan.decode.wait_ms + plan.decode.fetch_ms + plan.decode.prefill_ms +
                               first_step_ms(decode) + zone_delay(decode);
         return plan;
     }
@@ -200,7 +234,7 @@
         plan.decode = describe(decode);
         const double transfer = transfer_ms(static_cast<double>(m_work.prompt.value()),
                                             prefill.entry.zone == decode.entry.zone, m_figures, m_policy);
-        plan.first_token_ms = m_policy.read_setup_ms + plan.prefill->wait_ms + plan.prefill->prefill_ms +
+        plan.first_token_ms = m_policy.read_setup_ms + plan.prefill->wait_ms + plan.prefill->fetch_ms + plan.prefill->prefill_ms +
                               transfer + first_step_ms(decode) + zone_delay(prefill) + zone_delay(decode);
         return plan;
     }
@@ -230,6 +264,8 @@
     std::vector<const backend_state*> m_decode; // decode and mixed engines
     const backend_state* m_prefill_home = nullptr;
     const backend_state* m_decode_home = nullptr;
+    const backend_state* m_holder = nullptr;
+    double m_holder_tokens = 0;
 };
 
 } // namespace detail
