Follow the engines' cache events

Cause: what a host believed of caches came from its own requests only, a fifth of the traffic, and from a guess about homes. Shared parts were read again because the engine thought to keep them did not. Change: each host asks each engine for cache changes, one question at a time with 500 ms between; own sends bridge the lag with a half-life of 1.5 s.

--- a/include/parsleypitch/core/ids.hpp
+++ b/include/parsleypitch/core/ids.hpp
@@ -38,6 +38,8 @@
 using object_version = number_id<struct object_version_tag>;
 /// @brief Number of an attempt at one request; the first attempt is 1.
 using attempt_number = number_id<struct attempt_number_tag>;
+/// @brief Position in an engine's list of cache changes.
+using cache_position = number_id<struct cache_position_tag>;
 /// @brief Position of an event in a stream, as its `id` field states it.
 using stream_event_id = number_id<struct stream_event_id_tag>;
 /// @brief Position of a token in the answer to a request; the first token is 0.
--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -7,10 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace parsleypitch {
 
+/// @brief A report shows what a server has read within about this time; own sends bridge it.
+inline constexpr milliseconds own_send_half_life{1500};
+
 /// @brief How an attempt ended, as far as it tells something about the backend server.
 enum class attempt_result {
     answered,    // an answer of the server, whole
@@ -42,6 +46,11 @@
     /// @brief Since when an answer has been due without a byte from this server.
     std::optional<time_point> waiting_since;
     time_point last_heard;
+    /// @brief Parts of prompts that the engine keeps, by its own reports.
+    std::unordered_map<prompt_part_id, token_count> kept_parts;
+    /// @brief Epoch and position of its last report.
+    std::optional<incarnation> cache_epoch;
+    cache_position cache_next;
 
     /// @brief `excess_ms` with its decay up to `now`.
     [[nodiscard]] double recent_excess_ms(time_point now) const;
@@ -72,6 +81,9 @@
     /// @brief The server has read the parts of a prompt.
     void note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts, time_point now);
 
+    /// @brief Takes a server's own report of its cache.
+    void note_cache_report(const backend_server_id& id, const cache_report& report);
+
     /// @brief Tokens at the front of a prompt that the server probably keeps.
     [[nodiscard]] double cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
                                        time_point now) const;
@@ -80,7 +92,8 @@
     std::shared_ptr<const fleet_snapshot> m_snapshot;
     std::map<backend_server_id, backend_state> m_states;
     std::map<backend_service_id, std::vector<backend_state*>> m_usable;
-    prefix_index m_prefixes;
+    /// Own sends that the servers' reports may not show yet.
+    prefix_index m_prefixes{{.half_life = own_send_half_life}};
 };
 
 } // namespace parsleypitch
--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -77,6 +77,23 @@
     bool not_run = false;
 };
 
+/// @brief Tokens of a part that an engine keeps since a change of its cache; 0 if it dropped the part.
+struct cache_change {
+    prompt_part_id part;
+    token_count kept;
+};
+
+/// @brief Changes of an engine's cache after a position.
+struct cache_report {
+    /// @brief Another epoch than before means that the engine started again with an empty cache.
+    incarnation epoch;
+    /// @brief Position to continue from.
+    cache_position next;
+    /// @brief Changes before these are missing.
+    bool gap = false;
+    std::vector<cache_change> changes;
+};
+
 /// @brief The messages of the callers and backend servers as hooks; an adapter supplies them.
 struct backend_protocol {
     /// @brief Decodes a request of a caller; `malformed_request` if it can't be understood.
@@ -88,6 +105,10 @@
     std::function<result<kv_handle_id>(const std::string& body)> decode_prefill;
     /// @brief Encodes the release of a KV cache that is not needed.
     std::function<http::request(const kv_handle_id&)> encode_release;
+    /// @brief Encodes the question for changes of an engine's cache.
+    std::function<http::request(cache_position after, milliseconds wait)> encode_cache_query;
+    /// @brief Decodes the answer to it; `backend_broken` if it can't be understood.
+    std::function<result<cache_report>(const std::string& body)> decode_cache_report;
     /// @brief Marks a response of this system as the answer to a request.
     std::function<void(const request_id&, http::response_head&)> mark_answer;
 };
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -17,6 +17,8 @@
 
 namespace parsleypitch {
 
+class cache_follower;
+
 /// @brief Cancels a timer; after it the timer's function does not run.
 using timer_cancel = std::function<void()>;
 
@@ -88,6 +90,7 @@
 
   private:
     std::shared_ptr<state> m_state;
+    std::shared_ptr<cache_follower> m_caches;
 };
 
 /// @brief Status and body of an answer of this system to a request that is not forwarded or has failed.
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -181,20 +181,52 @@
     }
 }
 
+void backend_pool::note_cache_report(const backend_server_id& id, const cache_report& report) {
+    backend_state* state = find(id);
+    if (state == nullptr) {
+        return;
+    }
+    if (state->cache_epoch != report.epoch) {
+        state->kept_parts.clear();
+        state->cache_epoch = report.epoch;
+    }
+    state->cache_next = report.next;
+    for (const cache_change& change : report.changes) {
+        if (change.kept.value() > 0) {
+            state->kept_parts[change.part] = change.kept;
+        } else {
+            state->kept_parts.erase(change.part);
+        }
+    }
+}
+
 double backend_pool::cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
                                    time_point now) const {
+    const auto found = m_states.find(id);
+    if (found == m_states.end()) {
+        return 0;
+    }
+    double reported = 0;
+    for (const prompt_part& part : parts) {
+        const auto kept = found->second.kept_parts.find(part.id);
+        const token_count tokens = kept == found->second.kept_parts.end() ? token_count() : kept->second;
+        reported += static_cast<double>(std::min(tokens, part.tokens).value());
+        if (tokens < part.tokens) {
+            break;
+        }
+    }
     double expected = 0;
-    double tokens = 0;
+    double front = 0;
     const auto hashes = detail::prefix_hashes(parts);
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        tokens += static_cast<double>(parts[i].tokens.value());
+        front += static_cast<double>(parts[i].tokens.value());
         const double probability = m_prefixes.probability(id, hashes[i], now);
         if (probability <= 0) {
             break;
         }
-        expected = std::max(expected, tokens * probability);
+        expected = std::max(expected, front * probability);
     }
-    return expected;
+    return std::max(reported, expected);
 }
 
 } // namespace parsleypitch
--- /dev/null
+++ b/src/forwarding/cache_follower.cpp
@@ -0,0 +1,76 @@
+#include "forwarding/forwarder_state.hpp"
+
+#include <parsleypitch/forwarding/cache_follower.hpp>
+
+namespace parsleypitch {
+
+void cache_follower::adopt_fleet() {
+    if (!m_shared->routes) {
+        return;
+    }
+    for (const auto& [id, server] : m_shared->pool.all()) {
+        const backend_service* service = m_shared->routes->find(server.entry.service);
+        if (service != nullptr && service->engine && m_followed.insert(id).second) {
+            ask(id);
+        }
+    }
+}
+
+void cache_follower::ask(const backend_server_id& id) {
+    const backend_state* server = m_shared->pool.find(id);
+    if (server == nullptr || server->entry.draining) {
+        m_followed.erase(id);
+        return;
+    }
+    struct question {
+        std::string body;
+        http::call_handle call;
+        timer_cancel timeout;
+        unsigned status = 0;
+    };
+    const auto state = std::make_shared<question>();
+    http::request message = m_shared->protocol.encode_cache_query(server->cache_next, cache_query_wait);
+    message.headers.set("Host", server->entry.address.str());
+    http::call_hooks hooks;
+    const auto self = shared_from_this();
+    hooks.belongs = [](const http::response_head&) { return true; };
+    hooks.head = [state](const http::response_head& head) { state->status = head.status; };
+    hooks.body = [state](const std::string& part) { state->body.append(part); };
+    hooks.end = [self, state, id] {
+        constexpr unsigned status_ok = 200;
+        state->timeout();
+        if (state->status == status_ok) {
+            self->on_answer(id, state->body);
+        }
+        self->ask_later(id);
+    };
+    hooks.failed = [self, state, id](const error&) {
+        state->timeout();
+        self->ask_later(id);
+    };
+    state->timeout =
+        m_shared->hooks.start_timer(cache_query_wait + cache_query_allowance, [self, state, id] {
+            state->call.cancel();
+            self->ask_later(id);
+        });
+    state->call =
+        m_shared->hooks.start_call(server->entry.address, http::serialize(message), {}, std::move(hooks));
+}
+
+void cache_follower::ask_later(const backend_server_id& id) {
+    m_shared->hooks.start_timer(cache_query_period, [self = shared_from_this(), id] { self->ask(id); });
+}
+
+void cache_follower::on_answer(const backend_server_id& id, const std::string& body) {
+    const auto report = m_shared->protocol.decode_cache_report(body);
+    if (!report) {
+        m_shared->log->warning("cache_report_refused", {{"server", id}, {"reason", report.error().detail}});
+        return;
+    }
+    if (report.value().gap) {
+        m_shared->count("parsleypitch_cache_report_gaps_total", {});
+    }
+    m_shared->pool.note_cache_report(id, report.value());
+}
+
+} // namespace parsleypitch
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwarded_request.hpp"
 
+#include <parsleypitch/forwarding/cache_follower.hpp>
+
 namespace parsleypitch {
 
 forwarder::forwarder(backend_protocol protocol, forwarding_hooks hooks, forwarding_policy policy,
@@ -12,6 +14,7 @@
     m_state->zone = std::move(zone);
     m_state->log = std::move(log);
     m_state->metrics = std::move(metrics);
+    m_caches = std::make_shared<cache_follower>(m_state);
 }
 
 forwarder::~forwarder() = default;
@@ -24,10 +27,12 @@
         return;
     }
     m_state->routes = std::move(routes);
+    m_caches->adopt_fleet();
 }
 
 void forwarder::adopt(std::shared_ptr<const fleet_snapshot> fleet) {
     m_state->pool.adopt(std::move(fleet));
+    m_caches->adopt_fleet();
 }
 
 void forwarder::set_retry(retry_budget::config retry) {
