Drain without losing requests, and trust removals after an outage

Change: streams are refused 3 s after SIGTERM, calls 5.5 s after it; what is open at the end gets the answer that is true; the listener and connections without a request are closed in the same step. Only entries found missing within 500 ms after contact returned count as lapsed.

--- a/include/parsleypitch/fleet/fleet_directory.hpp
+++ b/include/parsleypitch/fleet/fleet_directory.hpp
@@ -9,11 +9,14 @@
 
 /// @brief Time after the return of the store within which entries that lapsed during its absence are renewed.
 inline constexpr milliseconds lapsed_entry_grace{2000};
+/// @brief Entries that disappear later than this after the return of the store have not lapsed in its absence.
+inline constexpr milliseconds lapse_report_time{500};
 
 /// @brief Decides which backend servers exist, from lists and changes of the platform's store.
 ///
 /// A missing entry means that its server has left, except shortly after an outage of the store: entries lapse
-/// while their servers cannot renew them, so they count for `lapsed_entry_grace` after contact returns.
+/// while their servers cannot renew them. Those that are found missing within `lapse_report_time` after contact
+/// returns count until `lapsed_entry_grace` after it.
 class fleet_directory {
   public:
     /// @brief Replaces all entries by a complete list.
@@ -29,6 +32,8 @@
     /// @brief Drops lapsed entries whose grace is over.
     /// @return whether any was dropped
     bool expire(time_point now);
+    /// @brief When the next lapsed entry is dropped, if there is one.
+    [[nodiscard]] std::optional<time_point> next_expiry() const;
 
     [[nodiscard]] bool listed() const noexcept { return m_listed; }
     [[nodiscard]] fleet_snapshot snapshot() const;
@@ -41,7 +46,7 @@
     };
 
     void contact(time_point now);
-    [[nodiscard]] bool in_grace(time_point now) const;
+    [[nodiscard]] bool may_have_lapsed(time_point now) const;
 
     std::map<backend_server_id, record> m_records;
     bool m_listed = false;
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -77,6 +77,13 @@
     /// @brief Answer to a message that is no valid request.
     [[nodiscard]] http::response fault_answer(http::parse_fault fault) const;
 
+    /// @brief Refuses streams from now on.
+    void refuse_streams();
+    /// @brief Refuses all requests from now on.
+    void close();
+    /// @brief Ends all requests with the answer that is true now; streams that have begun are cut.
+    void end_all();
+
     /// @brief Whether configuration and backend servers are known.
     [[nodiscard]] bool ready() const;
     /// @brief Requests that have no final answer yet.
--- a/include/parsleypitch/http/server.hpp
+++ b/include/parsleypitch/http/server.hpp
@@ -78,7 +78,7 @@
     void set_limits(const server_limits& limits);
     /// @brief Ends each connection after its next answer; idle connections stay open for requests under way.
     void drain();
-    /// @brief Closes idle connections.
+    /// @brief Closes the listener and all connections on which no request is being answered.
     void close_idle();
     /// @brief Closes the listener and all connections.
     void stop();
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -34,7 +34,7 @@
     void on_servers_changed(const object_event_batch& batch);
     void on_configuration(const directory_object& object);
     void publish_fleet();
-    void tick();
+    void drop_lapsed();
     void contact(const std::string& kind, bool reached, const std::string& reason);
     void apply_settings(const std::string& cause, bool log_unchanged);
 
--- a/src/fleet/fleet_directory.cpp
+++ b/src/fleet/fleet_directory.cpp
@@ -13,8 +13,8 @@
     m_confirmed_at = now;
 }
 
-bool fleet_directory::in_grace(time_point now) const {
-    return m_contact_returned && now < *m_contact_returned + lapsed_entry_grace;
+bool fleet_directory::may_have_lapsed(time_point now) const {
+    return m_contact_returned && now < *m_contact_returned + lapse_report_time;
 }
 
 void fleet_directory::replace(std::vector<backend_server_entry> listed, object_version as_of, time_point now) {
@@ -54,7 +54,7 @@
     if (found == m_records.end() || found->second.entry.revision > revision) {
         return;
     }
-    if (in_grace(now) && !found->second.entry.draining) {
+    if (may_have_lapsed(now) && !found->second.entry.draining) {
         if (!found->second.lapses_at) {
             found->second.lapses_at = *m_contact_returned + lapsed_entry_grace;
         }
@@ -78,6 +78,16 @@
            }) > 0;
 }
 
+std::optional<time_point> fleet_directory::next_expiry() const {
+    std::optional<time_point> next;
+    for (const auto& [id, known] : m_records) {
+        if (known.lapses_at && (!next || *known.lapses_at < *next)) {
+            next = known.lapses_at;
+        }
+    }
+    return next;
+}
+
 fleet_snapshot fleet_directory::snapshot() const {
     fleet_snapshot taken;
     taken.revision = m_revision;
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -44,6 +44,10 @@
     m_call = std::move(decoded.value());
     m_last_event = m_call.resume_after;
     m_routes = m_shared->routes;
+    if (m_shared->closed) {
+        refuse(fail(errc::draining, "this entry host stops"), m_shared->policy.come_back);
+        return;
+    }
     if (!m_routes) {
         refuse(fail(errc::no_configuration, "no configuration is known yet"), m_shared->policy.come_back);
         return;
@@ -53,6 +57,10 @@
         refuse(fail(errc::no_route, m_call.host + m_call.path), duration::zero());
         return;
     }
+    if (streams() && m_shared->streams_closed) {
+        refuse(fail(errc::draining, "this entry host stops"), m_shared->policy.come_back);
+        return;
+    }
     const backend_service_id* service = draw_service(*m_route, m_shared->hooks.random);
     m_service = service == nullptr ? nullptr : m_routes->find(*service);
     if (m_service == nullptr) {
@@ -476,6 +484,7 @@
 }
 
 void forwarded_request::deliver(http::response answer) {
+    m_ran = run_state::ran;
     http::remove_hop_by_hop(answer.head.headers, {});
     const unsigned status = answer.head.status;
     m_exchange->respond(std::move(answer));
@@ -499,6 +508,10 @@
 }
 
 void forwarded_request::on_deadline() {
+    give_up(fail(errc::deadline_exceeded, "no answer within the time of the request"));
+}
+
+void forwarded_request::give_up(const error& why) {
     if (m_finished) {
         return;
     }
@@ -507,13 +520,12 @@
         if (m_attempt->sent && m_attempt->stage == attempt_stage::whole) {
             m_ran = m_ran == run_state::ran ? run_state::ran : run_state::outcome_unknown;
         }
-        const bool silent = !m_attempt->heard;
+        const bool silent = !m_attempt->heard && why.code == errc::deadline_exceeded;
         m_attempt->call.cancel();
         settle(silent ? std::optional(attempt_result::silent) : std::nullopt);
     }
     release_source();
-    refuse(fail(errc::deadline_exceeded, "no answer within the time of the request"),
-           m_shared->policy.come_back);
+    refuse(why, m_shared->policy.come_back);
 }
 
 void forwarded_request::on_caller_gone() {
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -16,6 +16,8 @@
         : m_shared(std::move(shared)), m_exchange(std::move(exchange)) {}
 
     void start();
+    /// Cancels the attempt under way and answers what is true then.
+    void give_up(const error& why);
 
   private:
     /// One send to a backend server.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -45,6 +45,21 @@
     request->start();
 }
 
+void forwarder::refuse_streams() {
+    m_state->streams_closed = true;
+}
+
+void forwarder::close() {
+    m_state->closed = true;
+}
+
+void forwarder::end_all() {
+    const auto open = m_state->requests;
+    for (const auto& request : open) {
+        request->give_up(fail(errc::draining, "this entry host stops"));
+    }
+}
+
 http::response forwarder::fault_answer(http::parse_fault fault) const {
     const errc code = fault == http::parse_fault::body_too_large     ? errc::body_too_large
                       : fault == http::parse_fault::header_too_large ? errc::header_too_large
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -20,6 +20,8 @@
     backend_pool pool;
     std::map<backend_service_id, retry_budget> budgets;
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
+    bool closed = false;
+    bool streams_closed = false;
 
     [[nodiscard]] retry_budget& budget_of(const backend_service_id& service) {
         return budgets.try_emplace(service, policy.retry).first->second;
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -92,7 +92,11 @@
 }
 
 placed_engine describe(const backend_state& engine) {
-    return {engine.entry.id, engine.entry.address, engine.entry.zone};
+    placed_engine placed;
+    placed.id = engine.entry.id;
+    placed.address = engine.entry.address;
+    placed.zone = engine.entry.zone;
+    return placed;
 }
 
 /// Evaluates engines for one prompt.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -47,6 +47,7 @@
     fault_answer_hook fault_answer;
     server_limits limits;
     bool draining = false;
+    bool closed_to_new = false;
     bool stopped = false;
     std::unordered_set<std::shared_ptr<detail::server_connection>> connections;
 };
@@ -67,8 +68,8 @@
     }
     void check_deadline(time_point now);
     void close();
-    void close_if_idle() {
-        if (m_phase == phase::idle && m_input.empty()) {
+    void close_if_unanswering() {
+        if (m_phase == phase::idle || m_phase == phase::head || m_phase == phase::body) {
             close();
         }
     }
@@ -328,14 +329,14 @@
 
 void server::state::accept() {
     acceptor.async_accept([self = shared_from_this()](const std::error_code& code, tcp::socket socket) {
-        if (self->stopped) {
+        if (self->stopped || self->closed_to_new) {
             return;
         }
         if (code) {
             // Out of descriptors: accepting again at once would fail again.
             self->retry_timer.expires_after(detail::sweep_period);
             self->retry_timer.async_wait([self](const std::error_code& cancelled) {
-                if (!cancelled) {
+                if (!cancelled && !self->closed_to_new) {
                     self->accept();
                 }
             });
@@ -408,9 +409,12 @@
 }
 
 void server::close_idle() {
+    m_state->closed_to_new = true;
+    std::error_code ignored; // nothing is left to do with the listener
+    m_state->acceptor.close(ignored);
     const auto current = m_state->connections;
     for (const auto& connection : current) {
-        connection->close_if_idle();
+        connection->close_if_unanswering();
     }
 }
 
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// Lapsed entries are dropped and the settings file is compared this often.
-constexpr milliseconds tick_period{500};
+constexpr milliseconds settings_check_period{1000};
 
 const std::string servers_kind = "backend_servers";
 const std::string configurations_kind = "configurations";
@@ -29,7 +28,7 @@
     m_log = log;
     m_traffic = traffic;
     host.post_control([this] { open(*m_kernel); });
-    host.every(tick_period, [this] { tick(); });
+    host.every(settings_check_period, [this] { apply_settings("file changed", false); });
     return success();
 }
 
@@ -123,6 +122,13 @@
 
 void serving_directory::publish_fleet() {
     auto snapshot = std::make_shared<fleet_snapshot>(m_fleet.snapshot());
+    for (const backend_server_entry& known : m_published) {
+        const bool gone = std::none_of(snapshot->servers.begin(), snapshot->servers.end(),
+                                       [&known](const auto& entry) { return entry.id == known.id; });
+        if (gone) {
+            m_log->info("server_gone", {{"server", known.id}, {"fleet_revision", snapshot->revision}});
+        }
+    }
     for (const backend_server_entry& entry : snapshot->servers) {
         const auto same_id = [&entry](const backend_server_entry& other) { return other.id == entry.id; };
         const auto known = std::find_if(m_published.begin(), m_published.end(), same_id);
@@ -139,6 +145,10 @@
     }
     m_published = snapshot->servers;
     m_traffic->adopt(std::shared_ptr<const fleet_snapshot>(std::move(snapshot)));
+    if (const auto expiry = m_fleet.next_expiry()) {
+        const duration delay = std::max(duration::zero(), *expiry - std::chrono::steady_clock::now());
+        m_kernel->post_control_after(delay, [this] { drop_lapsed(); });
+    }
 }
 
 void serving_directory::on_configuration(const directory_object& object) {
@@ -164,11 +174,10 @@
     m_traffic->adopt(std::move(table));
 }
 
-void serving_directory::tick() {
+void serving_directory::drop_lapsed() {
     if (m_fleet.expire(std::chrono::steady_clock::now())) {
         publish_fleet();
     }
-    apply_settings("file changed", false);
 }
 
 void serving_directory::reload(const std::string& cause) {
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -14,11 +14,16 @@
 
 /// Log lines wait at most this long in memory; the same tick closes idle connections to backend servers.
 constexpr milliseconds housekeeping_period{200};
-/// The balancer needs two missed questions, one a second, to take a host out; new connections come until then.
-constexpr milliseconds least_drain{3000};
+/// The balancer needs two missed questions, one a second, to take a host out. Streams that come later may not
+/// end within the grace, so they are refused; they still come if no other host of the zone is ready.
+constexpr milliseconds streams_while_draining{3000};
+/// Calls of plain services that come later are refused too, and the listener is closed.
+constexpr milliseconds open_while_draining{5500};
 constexpr milliseconds drain_check_period{50};
-/// Part of the grace that is left for closing connections and ending the process.
-constexpr milliseconds grace_reserve{1200};
+/// Part of the grace that is left to write the last answers and to end the process.
+constexpr milliseconds grace_reserve{700};
+/// Time for the last answers to be written.
+constexpr milliseconds last_write_time{100};
 /// Clients keep a connection idle up to the configured time; the host waits this much longer before it closes.
 constexpr milliseconds idle_close_margin{2000};
 constexpr unsigned status_ok = 200;
@@ -51,7 +56,6 @@
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> metrics_page;
     bool draining = false;
-    bool was_ready = false;
     std::thread thread;
 };
 
@@ -121,12 +125,21 @@
 
 void serving_traffic::state::check_drain(time_point began, const std::shared_ptr<std::promise<void>>& done) {
     const duration passed = std::chrono::steady_clock::now() - began;
+    if (passed >= streams_while_draining) {
+        requests->refuse_streams();
+    }
     const bool over = passed >= settings.stop_grace - grace_reserve;
-    if (over || (passed >= least_drain && requests->open_requests() == 0)) {
+    const bool idle = passed >= streams_while_draining && requests->open_requests() == 0;
+    if (passed >= open_while_draining || idle) {
+        requests->close();
+        callers->close_idle();
+    }
+    if (over || idle) {
         log->info("drained", {{"open_requests", std::uint64_t{requests->open_requests()}},
                               {"after_ms", passed}});
-        callers->close_idle();
-        done->set_value();
+        requests->end_all();
+        drain_timer.expires_after(last_write_time);
+        drain_timer.async_wait([done](const std::error_code&) { done->set_value(); });
         return;
     }
     drain_timer.expires_after(drain_check_period);
