--- /dev/null
+++ b/tests/unit-fleet-directory.cpp
@@ -0,0 +1,91 @@
+#include <parsleypitch/fleet/fleet_directory.hpp>
+
+#include <gtest/gtest.h>
+
+namespace parsleypitch {
+
+class fleet_directory_fixture : public testing::Test {
+  protected:
+    static backend_server_entry entry(const std::string& id, std::uint64_t revision, bool draining = false) {
+        backend_server_entry made;
+        made.id = backend_server_id(id);
+        made.revision = object_version(revision);
+        made.draining = draining;
+        return made;
+    }
+    [[nodiscard]] std::size_t known() const { return m_fleet.snapshot().servers.size(); }
+    void remove(const std::string& id, std::uint64_t revision) {
+        m_fleet.remove(backend_server_id(id), object_version(revision), m_now);
+    }
+
+    time_point m_now{seconds(1000)};
+    fleet_directory m_fleet;
+};
+
+// Guards against work for a server whose entry is gone.
+TEST_F(fleet_directory_fixture, remove_in_contact_drops_the_server_at_once) {
+    m_fleet.replace({entry("a", 1), entry("b", 2)}, object_version(2), m_now);
+    remove("a", 3);
+    EXPECT_EQ(known(), 1U);
+}
+
+// Guards against a fleet that is empty after an outage of the store in which entries lapsed.
+TEST_F(fleet_directory_fixture, replace_after_an_outage_keeps_missing_servers_for_the_grace) {
+    m_fleet.replace({entry("a", 1), entry("b", 2)}, object_version(2), m_now);
+    m_fleet.contact_lost(m_now);
+    m_now += seconds(5);
+    m_fleet.replace({entry("b", 2)}, object_version(3), m_now);
+    EXPECT_EQ(known(), 2U);
+    ASSERT_EQ(m_fleet.next_expiry(), m_now + lapsed_entry_grace);
+    EXPECT_FALSE(m_fleet.expire(m_now + lapsed_entry_grace - milliseconds(1)));
+    EXPECT_TRUE(m_fleet.expire(m_now + lapsed_entry_grace));
+    EXPECT_EQ(known(), 1U);
+}
+
+// Guards against dropping a server that renewed its entry within the grace.
+TEST_F(fleet_directory_fixture, update_of_a_lapsed_entry_ends_its_grace) {
+    m_fleet.replace({entry("a", 1)}, object_version(1), m_now);
+    m_fleet.contact_lost(m_now);
+    m_fleet.replace({}, object_version(2), m_now);
+    m_fleet.update(entry("a", 3), m_now + seconds(1));
+    EXPECT_FALSE(m_fleet.expire(m_now + seconds(9)));
+    EXPECT_EQ(known(), 1U);
+}
+
+// Guards against requests to a leaving server: a removal reported some time after the store returned was taken
+// for a lapse and the server was used for two seconds more.
+TEST_F(fleet_directory_fixture, remove_some_time_after_contact_returned_drops_the_server_at_once) {
+    m_fleet.replace({entry("a", 1), entry("b", 1)}, object_version(1), m_now);
+    m_fleet.contact_lost(m_now);
+    m_now += seconds(7);
+    m_fleet.confirm(object_version(1), m_now);
+    m_now += milliseconds(830);
+    remove("a", 2);
+    EXPECT_EQ(known(), 1U);
+}
+
+// Guards against a grace for servers that had said that they leave.
+TEST_F(fleet_directory_fixture, remove_of_a_draining_server_after_an_outage_drops_it_at_once) {
+    m_fleet.replace({entry("a", 1, true)}, object_version(1), m_now);
+    m_fleet.contact_lost(m_now);
+    m_fleet.replace({}, object_version(2), m_now);
+    EXPECT_EQ(known(), 0U);
+}
+
+// Guards against old news: a change that is reported again must not undo a newer one.
+TEST_F(fleet_directory_fixture, update_and_remove_with_an_older_revision_change_nothing) {
+    m_fleet.replace({entry("a", 5, true)}, object_version(5), m_now);
+    m_fleet.update(entry("a", 4), m_now);
+    remove("a", 4);
+    ASSERT_EQ(known(), 1U);
+    EXPECT_TRUE(m_fleet.snapshot().servers.front().draining);
+}
+
+// Guards against a first list that is taken for the return from an outage.
+TEST_F(fleet_directory_fixture, remove_after_the_first_list_has_no_grace) {
+    m_fleet.replace({entry("a", 1)}, object_version(1), m_now);
+    remove("a", 2);
+    EXPECT_EQ(known(), 0U);
+}
+
+} // namespace parsleypitch
--- /dev/null
+++ b/tests/unit-platform-codec.cpp
@@ -0,0 +1,294 @@
+#include "directory_codec.hpp"
+#include "request_codec.hpp"
+#include "settings.hpp"
+#include "store_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace parsleypitch::platform {
+
+class directory_codec_fixture : public testing::Test {
+  protected:
+    static directory_object object(const std::string& content) {
+        return {object_key("i-1"), object_version(5), content};
+    }
+    static std::string entry(const std::string& replaced = "", const std::string& by = "") {
+        std::string text = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,)"
+                           R"("state":"ready","stage":"decode","born":123,"sequence":4})";
+        if (!replaced.empty()) {
+            text.replace(text.find(replaced), replaced.size(), by);
+        }
+        return text;
+    }
+};
+
+// Guards against fields of an entry that are read as something else.
+TEST_F(directory_codec_fixture, decode_backend_server_fills_every_field) {
+    const auto decoded = decode_backend_server(object(entry()));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded.value().id, backend_server_id("i-1"));
+    EXPECT_EQ(decoded.value().born, incarnation(123));
+    EXPECT_EQ(decoded.value().service, backend_service_id("s"));
+    EXPECT_EQ(decoded.value().address, endpoint("10.0.0.1:80"));
+    EXPECT_EQ(decoded.value().role, engine_role::decode);
+    EXPECT_EQ(decoded.value().slots, 64U);
+    EXPECT_EQ(decoded.value().revision, object_version(5));
+    EXPECT_FALSE(decoded.value().draining);
+    EXPECT_TRUE(decode_backend_server(object(entry("ready", "draining"))).value().draining);
+}
+
+// Guards against requests to addresses that some other writer put into the store.
+TEST_F(directory_codec_fixture, decode_backend_server_refuses_entries_of_other_writers) {
+    for (const auto& [replaced, by] : std::vector<std::pair<std::string, std::string>>{
+             {"\"service\":\"s\",", ""},     {"\"slots\":64", "\"slots\":\"64\""}, {"ready", "asleep"},
+             {"10.0.0.1:80", "10.0.0.1"},    {"\"zone\":\"z\"", "\"zone\":7"},     {"decode", "cook"},
+             {"\"born\":123", "\"born\":1.5"}, {"{", "["}}) {
+        EXPECT_FALSE(decode_backend_server(object(entry(replaced, by)))) << by;
+    }
+    EXPECT_FALSE(decode_backend_server(object("")));
+    EXPECT_FALSE(decode_backend_server(object("\xff\xfe")));
+}
+
+// Guards against a configuration whose kinds, times or splits are misread.
+TEST_F(directory_codec_fixture, decode_configuration_fills_routes_services_and_limits) {
+    const auto decoded = decode_configuration(object(
+        R"({"version":7,"routes":[)"
+        R"({"name":"r1","host":"h","path_prefix":"/p/","kind":"streaming","timeout_ms":4000,"target_latency_ms":1200,)"
+        R"("priority":1,"service":"s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},)"
+        R"({"name":"r2","host":"h","path_prefix":"/q/","kind":"non_idempotent","timeout_ms":800,"priority":2,)"
+        R"("traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":1}],)"
+        R"("services":[{"name":"s","health_path":"/health","max_connections":370,)"
+        R"("engine":{"slots":64,"kv_capacity_tokens":466368,"token_kv_bytes":35136,"link_mbps":330000.0}},)"
+        R"({"name":"t","max_connections":110}],)"
+        R"("limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3000,"idle_timeout_ms":15000}})"));
+    ASSERT_TRUE(decoded) << to_string(decoded.error());
+    const route_table& table = decoded.value();
+    EXPECT_EQ(table.version(), config_version(7));
+    const route* stream = table.match("h", "/p/x");
+    ASSERT_NE(stream, nullptr);
+    EXPECT_EQ(stream->kind, request_kind::stream);
+    EXPECT_EQ(stream->timeout, milliseconds(4000));
+    EXPECT_EQ(stream->target_latency, milliseconds(1200));
+    EXPECT_EQ(stream->urgency, 1U);
+    EXPECT_EQ(stream->max_attempts, 2U);
+    EXPECT_TRUE(stream->resumable);
+    const route* call = table.match("h", "/q/");
+    ASSERT_NE(call, nullptr);
+    EXPECT_EQ(call->kind, request_kind::at_most_once);
+    ASSERT_EQ(call->services.size(), 2U);
+    EXPECT_EQ(call->services[1].weight, 10U);
+    ASSERT_TRUE(table.find(backend_service_id("s"))->engine);
+    EXPECT_EQ(table.find(backend_service_id("s"))->engine->kv_capacity, token_count(466368));
+    EXPECT_FALSE(table.find(backend_service_id("t"))->engine);
+    EXPECT_EQ(table.limits().body, byte_count(200));
+    EXPECT_EQ(table.limits().idle_timeout, seconds(15));
+}
+
+// Guards against half a configuration in force.
+TEST_F(directory_codec_fixture, decode_configuration_refuses_documents_with_a_broken_route) {
+    EXPECT_FALSE(decode_configuration(object(R"({"version":7,"routes":[{"name":"r"}],"services":[]})")));
+    EXPECT_FALSE(decode_configuration(object(R"({"routes":[],"services":[]})")));
+    EXPECT_FALSE(decode_configuration(object(R"({"version":7,"services":[]})")));
+    EXPECT_FALSE(decode_configuration(object("nothing")));
+}
+
+// Guards against crashes on bytes of any kind in the store.
+RC_GTEST_FIXTURE_PROP(directory_codec_fixture, decoders_of_any_bytes_return, (const std::string& bytes)) {
+    (void)decode_backend_server(object(bytes));
+    (void)decode_configuration(object(bytes));
+}
+
+class store_codec_fixture : public testing::Test {
+  protected:
+    static http::response answer(unsigned status, std::string body) {
+        http::response made;
+        made.head.status = status;
+        made.body = std::move(body);
+        return made;
+    }
+};
+
+// Guards against lists that end too early or keep objects that can't be read.
+TEST_F(store_codec_fixture, decode_page_leaves_out_objects_without_name_or_revision) {
+    const auto page = decode_page(answer(200, R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},)"
+                                              R"({"metadata":{"name":"b"}},7,{"spec":{}}],"has_more":true,"as_of":9})"));
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page.value().objects.size(), 1U);
+    EXPECT_EQ(page.value().objects[0].name, object_key("a"));
+    EXPECT_EQ(page.value().objects[0].content, R"({"x":1})");
+    EXPECT_TRUE(page.value().has_more);
+    EXPECT_EQ(page.value().as_of, object_version(9));
+}
+
+// Guards against failures that are taken for an empty list or for silence.
+TEST_F(store_codec_fixture, decode_events_tells_the_failures_apart) {
+    EXPECT_EQ(decode_events(answer(410, "")).error().code, errc::history_lost);
+    EXPECT_EQ(decode_events(answer(429, "")).error().code, errc::platform_rate_limited);
+    EXPECT_EQ(decode_events(answer(503, "")).error().code, errc::platform_unreachable);
+    EXPECT_EQ(decode_events(answer(200, "[]")).error().code, errc::platform_protocol);
+    EXPECT_EQ(decode_events(answer(200, R"({"events":[]})")).error().code, errc::platform_protocol);
+    const auto batch = decode_events(
+        answer(200, R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4}}}],"as_of":5})"));
+    ASSERT_TRUE(batch);
+    ASSERT_EQ(batch.value().events.size(), 1U);
+    EXPECT_TRUE(batch.value().events[0].removed);
+}
+
+class request_codec_fixture : public testing::Test {
+  protected:
+    static http::request message() {
+        return {"POST",
+                "/p/x?q=1",
+                {{"Host", "h.example:80"},
+                 {"Parsleypitch-Attempt-Id", "id-1"},
+                 {"Parsleypitch-Deadline-Ms", "1500"},
+                 {"Parsleypitch-Model", "m"},
+                 {"Parsleypitch-Token-Counts", "1460,80"},
+                 {"Parsleypitch-Prompt-Prefix", "5c1e:800, 91bd:410,e440:250"},
+                 {"Last-Event-Id", "12"}},
+                "body",
+                true};
+    }
+
+    backend_protocol m_protocol = request_protocol();
+};
+
+// Guards against a request that is understood in part.
+TEST_F(request_codec_fixture, decode_call_reads_id_time_work_and_position) {
+    const auto call = m_protocol.decode_call(message());
+    ASSERT_TRUE(call);
+    EXPECT_EQ(call.value().id, request_id("id-1"));
+    EXPECT_EQ(call.value().host, "h.example");
+    EXPECT_EQ(call.value().path, "/p/x");
+    EXPECT_EQ(call.value().patience, milliseconds(1500));
+    EXPECT_EQ(call.value().resume_after, stream_event_id(12));
+    ASSERT_TRUE(call.value().work);
+    EXPECT_EQ(call.value().work->prompt, token_count(1460));
+    EXPECT_EQ(call.value().work->max_output, token_count(80));
+    ASSERT_EQ(call.value().work->parts.size(), 3U);
+    EXPECT_EQ(call.value().work->parts[1].id, prompt_part_id("91bd"));
+    EXPECT_EQ(call.value().work->parts[1].tokens, token_count(410));
+}
+
+// Guards against callers that set what only this system may set.
+TEST_F(request_codec_fixture, decode_call_drops_fields_of_the_system) {
+    http::request forged = message();
+    for (const char* name : {"Parsleypitch-Kv-Hold", "Parsleypitch-Pin-Ms", "Parsleypitch-Kv-Backup",
+                             "Parsleypitch-Kv-Source", "Parsleypitch-Stage", "Kv-Fetch",
+                             "Parsleypitch-Request-Priority", "Parsleypitch-Target-Instance"}) {
+        forged.headers.add(name, "forged");
+    }
+    const auto call = m_protocol.decode_call(std::move(forged));
+    ASSERT_TRUE(call);
+    for (const http::header_field& field : call.value().message.headers) {
+        EXPECT_NE(field.value, "forged") << field.name;
+    }
+}
+
+// Guards against callers that have fields dropped on which the engine relies.
+TEST_F(request_codec_fixture, decode_call_keeps_end_to_end_fields_that_connection_names) {
+    http::request forged = message();
+    forged.headers.add("Connection", "Parsleypitch-Attempt-Id, Parsleypitch-Model, X-Hop");
+    forged.headers.add("X-Hop", "1");
+    const auto call = m_protocol.decode_call(std::move(forged));
+    ASSERT_TRUE(call);
+    EXPECT_NE(call.value().message.headers.find("Parsleypitch-Attempt-Id"), nullptr);
+    EXPECT_NE(call.value().message.headers.find("Parsleypitch-Model"), nullptr);
+    EXPECT_EQ(call.value().message.headers.find("X-Hop"), nullptr);
+}
+
+// Guards against requests without a name, with two names or with a time that is no number.
+TEST_F(request_codec_fixture, decode_call_refuses_malformed_requests) {
+    http::request without = message();
+    without.headers.remove("Parsleypitch-Attempt-Id");
+    EXPECT_FALSE(m_protocol.decode_call(without));
+    http::request twice = message();
+    twice.headers.add("Parsleypitch-Attempt-Id", "id-2");
+    EXPECT_FALSE(m_protocol.decode_call(twice));
+    http::request late = message();
+    late.headers.set("Parsleypitch-Deadline-Ms", "soon");
+    EXPECT_FALSE(m_protocol.decode_call(late));
+    http::request star = message();
+    star.target = "*";
+    EXPECT_FALSE(m_protocol.decode_call(star));
+}
+
+// Guards against a send that loses the caller's body or sets the wrong fields.
+TEST_F(request_codec_fixture, encode_attempt_sets_target_time_and_source) {
+    const auto call = m_protocol.decode_call(message());
+    attempt_spec spec;
+    spec.target = backend_server_id("i-2");
+    spec.time_left = milliseconds(700);
+    spec.urgency = 1;
+    spec.source = kv_source{endpoint("10.0.0.2:80"), kv_handle_id("ab")};
+    spec.resume_after = stream_event_id(15);
+    const http::request sent = m_protocol.encode_attempt(call.value(), spec);
+    EXPECT_EQ(*sent.headers.find("Parsleypitch-Target-Instance"), "i-2");
+    EXPECT_EQ(*sent.headers.find("Parsleypitch-Deadline-Ms"), "700");
+    EXPECT_EQ(*sent.headers.find("Parsleypitch-Request-Priority"), "1");
+    EXPECT_EQ(*sent.headers.find("Parsleypitch-Kv-Source"), "10.0.0.2:80/ab");
+    EXPECT_EQ(*sent.headers.find("Last-Event-Id"), "15");
+    EXPECT_EQ(sent.headers.count("Parsleypitch-Deadline-Ms"), 1U);
+    EXPECT_EQ(sent.headers.find("Parsleypitch-Stage"), nullptr);
+    EXPECT_EQ(sent.target, "/p/x?q=1");
+    EXPECT_EQ(sent.body, "body");
+}
+
+// Guards against an answer that is taken for proof that nothing ran.
+TEST_F(request_codec_fixture, decode_answer_takes_only_stated_proof) {
+    EXPECT_FALSE(m_protocol.decode_answer({503, "", {}, true, false}).not_run);
+    EXPECT_TRUE(m_protocol.decode_answer({503, "", {{"Parsleypitch-Not-Executed", "1"}}, true, false}).not_run);
+    EXPECT_TRUE(m_protocol.decode_answer({421, "", {}, true, false}).not_run);
+    EXPECT_TRUE(m_protocol.decode_answer({200, "", {{"Parsleypitch-Response-Seal", "x"}}, true, false}).sealed);
+}
+
+// Guards against beliefs about caches from reports that are misread.
+TEST_F(request_codec_fixture, decode_cache_report_reads_changes_and_gaps) {
+    const auto report = m_protocol.decode_cache_report(
+        R"({"epoch":2,"next":9,"lost":true,"events":[[7,"+","","aa",800,"m"],[8,"-","","bb",0,"m"],[1],"x"]})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report.value().epoch, incarnation(2));
+    EXPECT_EQ(report.value().next, cache_position(9));
+    EXPECT_TRUE(report.value().gap);
+    ASSERT_EQ(report.value().changes.size(), 2U);
+    EXPECT_EQ(report.value().changes[0].kept, token_count(800));
+    EXPECT_EQ(report.value().changes[1].kept, token_count(0));
+    EXPECT_FALSE(m_protocol.decode_cache_report("{}"));
+    EXPECT_FALSE(m_protocol.decode_cache_report("no"));
+}
+
+class platform_settings_fixture : public testing::Test {
+  protected:
+    const std::string m_text =
+        R"({"node":"edge-1","zone":"z","ip":"10.1.0.38","listen":{"front":"10.1.0.38:1","ready":"10.1.0.38:2"},)"
+        R"("internal_ports":[7380,7395],"bounds":{"retry_budget_ratio":0.3,"retry_budget_slack":58,"grace_s":8},)"
+        R"("platform":{"address":"10.200.1.7:8142"},"unknown":[1]})";
+};
+
+// Guards against settings that are read from the wrong place, and against failing on new fields.
+TEST_F(platform_settings_fixture, decode_settings_fills_addresses_and_bounds) {
+    const auto settings = decode_settings(m_text, "local.json");
+    ASSERT_TRUE(settings) << to_string(settings.error());
+    EXPECT_EQ(settings.value().id, entry_host_id("edge-1"));
+    EXPECT_EQ(settings.value().callers, endpoint("10.1.0.38:1"));
+    EXPECT_EQ(settings.value().readiness, endpoint("10.1.0.38:2"));
+    EXPECT_EQ(settings.value().metrics, endpoint("10.1.0.38:7380"));
+    EXPECT_EQ(settings.value().store, endpoint("10.200.1.7:8142"));
+    EXPECT_DOUBLE_EQ(settings.value().retry_ratio, 0.3);
+    EXPECT_EQ(settings.value().stop_grace, seconds(8));
+}
+
+// Guards against a start with half of the settings, without a word about what is missing.
+TEST_F(platform_settings_fixture, decode_settings_names_the_missing_key) {
+    std::string text = m_text;
+    text.replace(text.find("\"front\""), 7, "\"other\"");
+    const auto settings = decode_settings(text, "local.json");
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().code, errc::missing_key);
+    EXPECT_NE(settings.error().detail.find("local.json.listen.front"), std::string::npos);
+    EXPECT_EQ(decode_settings("[]", "f").error().code, errc::malformed_document);
+}
+
+} // namespace parsleypitch::platform
