Share a call to the store between changes in quick succession

Ruled out: longer waits alone (the wait is bounded by the time in which a silent connection has to be noticed; it now follows the platform's bound). Change: 250 ms between a watch that reported changes and the next.

--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -9,14 +9,16 @@
 
 namespace parsleypitch {
 
-/// @brief Longest wait of one watch. A watch that is cut silently is noticed after this time and the allowance
-/// of the client for an answer, which must stay below the time within which changes have to be known.
-inline constexpr milliseconds watch_wait{2000};
+/// @brief Pause after a watch that reported changes, so that changes in quick succession share one call.
+inline constexpr milliseconds collect_time{250};
 inline constexpr milliseconds first_retry_delay{100};
 inline constexpr milliseconds longest_retry_delay{1000};
 
 /// @brief What a watcher learns about its kind.
 struct watcher_hooks {
+    /// @brief Longest wait of one watch. A watch that is cut silently is noticed after this time and the allowance
+    /// of the client for an answer, which must stay below the time within which changes have to be known.
+    milliseconds watch_wait{2000};
     std::function<void(std::vector<directory_object> all, object_version as_of)> listed;
     std::function<void(const object_event_batch& batch)> changed;
     /// @brief A call failed, after which the watcher tries again.
--- a/include/parsleypitch/settings/serve_settings.hpp
+++ b/include/parsleypitch/settings/serve_settings.hpp
@@ -17,6 +17,8 @@
     endpoint metrics;
     /// @brief The platform's store.
     endpoint store;
+    /// @brief Time within which a lost connection to the store has to be noticed and replaced.
+    duration store_contact = milliseconds(3000);
     /// @brief Retries allowed over all entry hosts for each request of a service.
     double retry_ratio = 0.2;
     /// @brief Retries allowed besides, over all entry hosts in each window.
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -36,7 +36,7 @@
 }
 
 void kind_watcher::watch() {
-    m_source.watch(m_known, watch_wait, [self = shared_from_this()](result<object_event_batch> batch) {
+    m_source.watch(m_known, m_hooks.watch_wait, [self = shared_from_this()](result<object_event_batch> batch) {
         if (!self->m_stopped) {
             self->on_events(std::move(batch));
         }
@@ -55,7 +55,15 @@
     m_delay = first_retry_delay;
     m_known = std::max(m_known, batch.value().as_of);
     m_hooks.changed(batch.value());
-    watch();
+    if (batch.value().events.empty()) {
+        watch();
+        return;
+    }
+    m_hooks.schedule(collect_time, [self = shared_from_this()] {
+        if (!self->m_stopped) {
+            self->watch();
+        }
+    });
 }
 
 void kind_watcher::retry(const error& why, std::function<void()> step) {
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Part of the contact time that is left for the answer to a watch and for a new connection.
+constexpr milliseconds watch_reserve{1000};
 constexpr milliseconds settings_check_period{1000};
 
 const std::string servers_kind = "backend_servers";
@@ -58,6 +60,7 @@
 
 watcher_hooks serving_directory::hooks_for(kernel& host, const std::string& kind) {
     watcher_hooks hooks;
+    hooks.watch_wait = std::chrono::duration_cast<milliseconds>(m_settings.store_contact - watch_reserve);
     hooks.failed = [this, kind](const error& why, duration) {
         contact(kind, false, to_string(why));
         if (kind == servers_kind) {
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -16,7 +16,7 @@
         };
         source.watch = [this](object_version after, milliseconds wait, event_callback done) {
             m_watches.push_back(after.value());
-            EXPECT_EQ(wait, watch_wait);
+            EXPECT_EQ(wait, milliseconds(2000));
             m_events = std::move(done);
         };
         watcher_hooks hooks;
@@ -68,10 +68,12 @@
     EXPECT_EQ(m_watches, std::vector<std::uint64_t>{7});
 }
 
-// Guards against changes that are asked for again or skipped.
+// Guards against changes that are asked for again or skipped, and against a call for each of many changes.
 TEST_F(kind_watcher_fixture, watch_continues_from_the_revision_of_its_last_answer) {
     answer(page({}, false, 7));
     answer(object_event_batch{{{{object_key("a"), object_version(8), "{}"}, false}}, object_version(8)});
+    EXPECT_EQ(m_delays, std::vector<duration>{collect_time});
+    run_scheduled();
     answer(object_event_batch{{}, object_version(11)});
     EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 8, 11}));
     EXPECT_EQ(m_changed, 1U);
