Order the split of roles under a lease in the store

Ruled out: following the mix within seconds: a change takes an engine for 3 s and the mix alternates every 2.8 s. Change: one holder of a lease (the product's lease state on an object of the store, clock that counts suspended time) gives orders; a term begins with a pause, and the lease is checked again when the order is written.

--- a/include/parsleypitch/core/hooks.hpp
+++ b/include/parsleypitch/core/hooks.hpp
@@ -20,6 +20,9 @@
 /// @brief The steady clock of this process.
 [[nodiscard]] clock_hook steady_clock_hook();
 
+/// @brief A monotonic clock that also counts the time in which the machine was suspended.
+[[nodiscard]] clock_hook suspend_aware_clock_hook();
+
 /// @brief A thread-safe generator that starts from `seed`.
 [[nodiscard]] random_hook seeded_random_hook(std::uint64_t seed);
 
--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/refusal.hpp>
 #include <parsleypitch/core/result.hpp>
+#include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
 #include <parsleypitch/http/message.hpp>
 
@@ -94,6 +95,18 @@
     std::vector<cache_change> changes;
 };
 
+/// @brief An order to an engine to change its role.
+struct role_order {
+    backend_server_id target;
+    engine_role to = engine_role::mixed;
+    /// @brief Who gives the order, and under which term.
+    entry_host_id holder;
+    fencing_number term;
+};
+
+/// @brief What an engine answered to an order.
+enum class order_answer { accepted, already_holds, busy, stale_term, refused };
+
 /// @brief The messages of the callers and backend servers as hooks; an adapter supplies them.
 struct backend_protocol {
     /// @brief Decodes a request of a caller; `malformed_request` if it can't be understood.
@@ -109,6 +122,8 @@
     std::function<http::request(cache_position after, milliseconds wait)> encode_cache_query;
     /// @brief Decodes the answer to it; `backend_broken` if it can't be understood.
     std::function<result<cache_report>(const std::string& body)> decode_cache_report;
+    std::function<http::request(const role_order&)> encode_order;
+    std::function<order_answer(const http::response_head&)> decode_order_answer;
     /// @brief Marks a response of this system as the answer to a request.
     std::function<void(const request_id&, http::response_head&)> mark_answer;
 };
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -31,6 +31,11 @@
     random_hook random;
 };
 
+struct token_totals {
+    double prompt = 0;
+    double output = 0;
+};
+
 struct forwarding_policy {
     placement_policy placement;
     retry_budget::config retry;
@@ -89,6 +94,8 @@
     /// @brief Requests that have no final answer yet.
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] const route_table* routes() const;
+    /// @brief Tokens of prompts that had to be read and tokens that were generated since the last call, by service.
+    [[nodiscard]] std::map<backend_service_id, token_totals> take_demand();
     /// @brief Sets gauges about beliefs, for the metrics page.
     void publish_beliefs() const;
 
--- a/include/parsleypitch/forwarding/route_table.hpp
+++ b/include/parsleypitch/forwarding/route_table.hpp
@@ -54,6 +54,8 @@
     /// @brief KV cache of one token.
     byte_count token_kv{35'136};
     double link_bits_per_second = 100e9;
+    /// @brief Tokens in one event of a stream.
+    double tokens_per_event = 1;
 };
 
 struct backend_service {
--- a/include/parsleypitch/serving/platform_adapter.hpp
+++ b/include/parsleypitch/serving/platform_adapter.hpp
@@ -18,6 +18,8 @@
 struct directory_access {
     object_source servers;
     object_source configurations;
+    /// @brief The lease of the host that gives orders to engines.
+    object_slot authority;
     std::function<result<backend_server_entry>(const directory_object&)> decode_server;
     std::function<result<route_table>(const directory_object&)> decode_configuration;
     /// @brief Whether an object holds the newest configuration; others of its kind are no concern.
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -28,6 +28,11 @@
     void drain() override;
     void stop() override;
 
+    /// @brief Called on the control thread with the demand of each period.
+    using demand_hook = std::function<void(const std::map<backend_service_id, token_totals>&, duration period)>;
+    /// @brief Sets the receiver of the demand; to be called before the process serves requests.
+    void on_demand(demand_hook hook);
+
     // Called by control; each takes effect on the traffic thread.
     void adopt(std::shared_ptr<const route_table> routes);
     void adopt(std::shared_ptr<const fleet_snapshot> fleet);
--- a/include/parsleypitch/settings/serve_settings.hpp
+++ b/include/parsleypitch/settings/serve_settings.hpp
@@ -24,6 +24,8 @@
     /// @brief Retries allowed besides, over all entry hosts in each window.
     double retry_allowance = 50;
     duration retry_window = seconds(10);
+    /// @brief Least time between the orders of two holders of the authority.
+    duration holder_pause = milliseconds(3000);
     /// @brief Time between SIGTERM and SIGKILL.
     duration stop_grace = seconds(8);
 
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -1,5 +1,6 @@
 #include "cli/serve_command.hpp"
 
+#include "cli/process.hpp"
 #include "cli/role_commands.hpp"
 
 #include <parsleypitch/metrics/metrics.hpp>
@@ -49,9 +50,13 @@
     kernel host(0);
     const auto log = std::make_shared<event_log>();
     const auto directory = std::make_shared<serving_directory>(settings.value(), adapter);
+    const lease_holder self{settings.value().id, new_incarnation()};
     const std::vector<std::shared_ptr<service>> services = {
         log, std::make_shared<metrics_registry>(),
-        std::make_shared<serving_traffic>(settings.value(), adapter.protocol), directory};
+        std::make_shared<serving_traffic>(settings.value(), adapter.protocol),
+        std::make_shared<serving_roles>(self, adapter.protocol, settings.value().holder_pause,
+                                        suspend_aware_clock_hook()),
+        directory};
     for (const auto& each : services) {
         if (const auto added = host.add(each); !added) {
             return report_failure(added.error());
--- a/src/core/hooks.cpp
+++ b/src/core/hooks.cpp
@@ -4,12 +4,22 @@
 #include <mutex>
 #include <random>
 
+#include <ctime>
+
 namespace parsleypitch {
 
 clock_hook steady_clock_hook() {
     return [] { return std::chrono::steady_clock::now(); };
 }
 
+clock_hook suspend_aware_clock_hook() {
+    return [] {
+        timespec now{};
+        (void)::clock_gettime(CLOCK_BOOTTIME, &now); // fails for unknown clocks only
+        return time_point(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+    };
+}
+
 random_hook seeded_random_hook(std::uint64_t seed) {
     struct generator {
         std::mutex mutex;
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -116,6 +116,9 @@
                m_shared->policy.come_back);
         return;
     }
+    const placed_engine& reader = plan->prefill ? *plan->prefill : plan->decode;
+    m_shared->demand[m_service->id].prompt +=
+        std::max(0.0, static_cast<double>(m_call.work->prompt.value()) - reader.cached_tokens);
     attempt next;
     next.stage = plan->prefill ? attempt_stage::prefill : attempt_stage::whole;
     next.server = plan->prefill ? *plan->prefill : plan->decode;
@@ -276,6 +279,9 @@
             m_last_event = event.id;
         }
         ++m_event_count;
+        if (m_service->engine) {
+            m_shared->demand[m_service->id].output += m_service->engine->tokens_per_event;
+        }
         out.append(event.bytes);
     }
     if (out.empty()) {
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -82,6 +82,10 @@
     return m_state->routes.get();
 }
 
+std::map<backend_service_id, token_totals> forwarder::take_demand() {
+    return std::exchange(m_state->demand, {});
+}
+
 void forwarder::publish_beliefs() const {
     const time_point now = m_state->hooks.now();
     const auto gauge = [this](const char* metric, metric_labels labels, double value) {
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -20,6 +20,7 @@
     backend_pool pool;
     std::map<backend_service_id, retry_budget> budgets;
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
+    std::map<backend_service_id, token_totals> demand;
     bool closed = false;
     bool streams_closed = false;
 
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -26,9 +26,11 @@
 result<void> serving_directory::start(kernel& host) {
     BOOST_OUTCOME_TRY(log, host.find<event_log>(event_log_service_name()));
     BOOST_OUTCOME_TRY(traffic, host.find<serving_traffic>(serving_traffic_name()));
+    BOOST_OUTCOME_TRY(roles, host.find<serving_roles>(serving_roles_name()));
     m_kernel = &host;
     m_log = log;
     m_traffic = traffic;
+    m_roles = roles;
     host.post_control([this] { open(*m_kernel); });
     host.every(settings_check_period, [this] { apply_settings("file changed", false); });
     return success();
@@ -36,6 +38,7 @@
 
 void serving_directory::open(kernel& host) {
     m_access = m_adapter.open_directory(host.control_context(), m_settings.store);
+    m_roles->open(m_access.authority);
     watcher_hooks servers = hooks_for(host, servers_kind);
     servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
     servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
@@ -147,6 +150,7 @@
                                      {"revision", entry.revision}});
     }
     m_published = snapshot->servers;
+    m_roles->observe(m_published);
     m_traffic->adopt(std::shared_ptr<const fleet_snapshot>(std::move(snapshot)));
     if (const auto expiry = m_fleet.next_expiry()) {
         const duration delay = std::max(duration::zero(), *expiry - std::chrono::steady_clock::now());
--- /dev/null
+++ b/src/serving/serving_roles.cpp
@@ -0,0 +1,238 @@
+#include "lease/lease_codec.hpp"
+
+#include <parsleypitch/serving/serving_roles.hpp>
+
+#include <asio/io_context.hpp>
+
+namespace parsleypitch {
+
+namespace {
+
+constexpr milliseconds tick_period{250};
+/// Hosts that do not hold the lease read it this often; it costs a tenth of a usual read.
+constexpr milliseconds watch_lease_period{3000};
+/// After a call that failed.
+constexpr milliseconds failed_call_pause{1000};
+
+} // namespace
+
+serving_roles::serving_roles(lease_holder self, backend_protocol protocol, duration holder_pause,
+                             clock_hook clock)
+    : m_lease(self), m_self(std::move(self)), m_protocol(std::move(protocol)), m_holder_pause(holder_pause),
+      m_clock(std::move(clock)) {
+}
+
+service_name serving_roles::name() const {
+    return serving_roles_name();
+}
+
+result<void> serving_roles::start(kernel& host) {
+    BOOST_OUTCOME_TRY(log, host.find<event_log>(event_log_service_name()));
+    BOOST_OUTCOME_TRY(metrics, host.find<metrics_registry>(metrics_service_name()));
+    BOOST_OUTCOME_TRY(traffic, host.find<serving_traffic>(serving_traffic_name()));
+    m_kernel = &host;
+    m_log = log;
+    m_metrics = metrics;
+    m_client = std::make_unique<http::client>(host.control_context(), http::client_limits{});
+    traffic->on_demand([weak = weak_from_this()](const auto& demand, duration period) {
+        if (const auto self = weak.lock()) {
+            self->observe_demand(demand, period);
+        }
+    });
+    host.every(tick_period, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
+    return success();
+}
+
+void serving_roles::stop() {
+    m_kernel->post_control([self = shared_from_this()] {
+        self->m_slot.reset();
+        self->m_lease.give_up();
+    });
+}
+
+void serving_roles::open(object_slot slot) {
+    m_slot = std::move(slot);
+}
+
+void serving_roles::observe(const std::vector<backend_server_entry>& servers) {
+    std::map<backend_service_id, std::vector<backend_server_entry>> by_service;
+    for (const backend_server_entry& server : servers) {
+        if (server.role != engine_role::mixed) {
+            by_service[server.service].push_back(server);
+        }
+    }
+    for (const auto& [id, engines] : by_service) {
+        m_balances.try_emplace(id, role_balance_policy{}).first->second.observe(engines, m_clock());
+    }
+}
+
+void serving_roles::observe_demand(const std::map<backend_service_id, token_totals>& demand, duration period) {
+    for (auto& [id, balance] : m_balances) {
+        const auto found = demand.find(id);
+        const token_totals totals = found == demand.end() ? token_totals{} : found->second;
+        balance.observe({totals.prompt / to_seconds(period), totals.output / to_seconds(period)}, m_clock());
+    }
+}
+
+void serving_roles::tick() {
+    const time_point now = m_clock();
+    announce(now);
+    if (m_slot && !m_call_in_progress) {
+        step_lease(now);
+    }
+    if (may_order(now)) {
+        give_orders(now);
+    }
+}
+
+bool serving_roles::may_order(time_point now) const {
+    return m_announced && m_lease.valid(now) && now - m_term_began >= m_holder_pause;
+}
+
+void serving_roles::announce(time_point now) {
+    const auto term = m_lease.current(now);
+    if (m_announced && (!term || term.value() != *m_announced)) {
+        m_log->warning("authority_lost", {{"term", *m_announced}});
+        m_announced.reset();
+        m_lease.give_up();
+    }
+    if (!m_announced && term) {
+        m_announced = term.value();
+        // Nobody can have given orders before the first term.
+        const bool first = term.value() == fencing_number(1);
+        m_term_began = first ? now - m_holder_pause : now;
+        m_log->info("authority_acquired", {{"term", term.value()}, {"first", first}});
+    }
+}
+
+void serving_roles::step_lease(time_point now) {
+    if (m_next_call && now < *m_next_call) {
+        return;
+    }
+    if (m_read_needed) {
+        read_lease(false);
+        return;
+    }
+    switch (m_lease.next(now)) {
+    case lease_action::renew:
+    case lease_action::acquire:
+        write_lease(now);
+        break;
+    case lease_action::wait:
+        read_lease(true);
+        break;
+    case lease_action::nothing:
+        break;
+    }
+}
+
+void serving_roles::read_lease(bool stale) {
+    m_call_in_progress = true;
+    const time_point now = m_clock();
+    m_next_call = stale ? std::optional<time_point>(now + watch_lease_period) : std::nullopt;
+    m_slot->read(stale, [self = shared_from_this()](const result<directory_object>& read) {
+        self->m_call_in_progress = false;
+        self->on_read(read, self->m_clock());
+    });
+}
+
+void serving_roles::on_read(const result<directory_object>& read, time_point at) {
+    if (!read && read.error().code == errc::object_not_found) {
+        m_read_needed = false;
+        m_lease.observe(stored_lease{}, at);
+        return;
+    }
+    if (!read) {
+        m_next_call = at + failed_call_pause;
+        return;
+    }
+    auto value = detail::decode_lease(read.value().content);
+    if (!value) {
+        m_log->warning("authority_unreadable", {{"reason", value.error().detail}});
+        m_next_call = at + watch_lease_period;
+        return;
+    }
+    m_read_needed = false;
+    m_lease.observe({read.value().revision, std::move(value.value())}, at);
+}
+
+void serving_roles::write_lease(time_point now) {
+    const write_id id(m_self.id.str() + "-" + std::to_string(m_self.born.value()) + "-" +
+                      std::to_string(++m_writes));
+    const lease_proposal proposal = m_lease.propose(now, id);
+    m_call_in_progress = true;
+    m_slot->write(detail::encode_lease(proposal.value), proposal.expected,
+                  [self = shared_from_this(), proposal, now](const result<object_version>& written) {
+                      self->m_call_in_progress = false;
+                      self->on_written(proposal, written, now);
+                  });
+}
+
+void serving_roles::on_written(const lease_proposal& proposal, const result<object_version>& written,
+                               time_point sent_at) {
+    if (written) {
+        m_lease.written(proposal, written.value(), sent_at);
+        return;
+    }
+    // After a conflict or a lost answer only the store knows whose lease it is.
+    m_read_needed = true;
+    m_next_call = m_clock() + failed_call_pause;
+    m_log->info("authority_write_failed",
+                {{"term", proposal.value.term}, {"reason", reason_name(written.error().code)}});
+}
+
+void serving_roles::give_orders(time_point now) {
+    for (auto& [id, balance] : m_balances) {
+        for (const role_change& change : balance.changes(now)) {
+            m_log->info("order", {{"engine", change.engine},
+                                  {"service", id},
+                                  {"to", to_string(change.to)},
+                                  {"term", *m_announced},
+                                  {"wanted_prefill", std::uint64_t{balance.wanted_prefill()}}});
+            send(change);
+        }
+    }
+}
+
+void serving_roles::send(const role_change& change) {
+    const role_order order{change.engine, change.to, m_self.id, *m_announced};
+    http::request message = m_protocol.encode_order(order);
+    message.headers.set("Host", change.address.str());
+    const auto self = shared_from_this();
+    const auto handle = std::make_shared<http::call_handle>();
+    http::call_hooks hooks;
+    hooks.belongs = [](const http::response_head&) { return true; };
+    hooks.sent = [self, handle, order] {
+        // The connection may have taken its time, or the machine may have been suspended.
+        if (!self->may_order(self->m_clock()) || self->m_announced != order.term) {
+            self->m_log->warning("order_withheld", {{"engine", order.target}, {"term", order.term}});
+            handle->cancel();
+        }
+    };
+    hooks.head = [self, order](const http::response_head& head) {
+        const order_answer answer = self->m_protocol.decode_order_answer(head);
+        const bool accepted = answer == order_answer::accepted || answer == order_answer::already_holds;
+        self->m_metrics->count(metric_name("parsleypitch_orders_total"), {{"accepted", accepted ? "1" : "0"}});
+        self->m_log->info("order_answered",
+                          {{"engine", order.target}, {"accepted", accepted}, {"status", head.status}});
+    };
+    hooks.body = [](const std::string&) {};
+    hooks.end = [] {};
+    hooks.failed = [self, order](const error& why) {
+        self->m_log->warning("order_unanswered", {{"engine", order.target}, {"reason", why.detail}});
+    };
+    // An order goes out on a new connection: on a kept one it could wait behind a suspended write.
+    http::call_options options;
+    options.freshest_idle = duration::zero();
+    *handle = m_client->start(change.address, http::serialize(message), options, std::move(hooks));
+}
+
+service_name serving_roles_name() {
+    return service_name("serving_roles");
+}
+
+} // namespace parsleypitch
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -14,6 +14,7 @@
 
 /// Log lines wait at most this long in memory; the same tick closes idle connections to backend servers.
 constexpr milliseconds housekeeping_period{200};
+constexpr milliseconds demand_period{1000};
 /// The balancer needs two missed questions, one a second, to take a host out. Streams that come later may not
 /// end within the grace, so they are refused; they still come if no other host of the zone is ready.
 constexpr milliseconds streams_while_draining{3000};
@@ -37,6 +38,7 @@
     [[nodiscard]] forwarding_hooks make_hooks();
     void run();
     void housekeep();
+    void report_demand();
     void apply_limits();
     void answer_readiness(const std::shared_ptr<http::exchange>& exchange) const;
     void answer_metrics(const std::shared_ptr<http::exchange>& exchange) const;
@@ -56,6 +58,9 @@
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> metrics_page;
     bool draining = false;
+    kernel* host = nullptr;
+    demand_hook demand_receiver;
+    time_point demand_since = std::chrono::steady_clock::now();
     std::thread thread;
 };
 
@@ -98,11 +103,24 @@
         if (!code) {
             client->sweep(std::chrono::steady_clock::now());
             log->flush();
+            report_demand();
             housekeep();
         }
     });
 }
 
+void serving_traffic::state::report_demand() {
+    const time_point now = std::chrono::steady_clock::now();
+    const duration period = now - demand_since;
+    if (!demand_receiver || period < demand_period) {
+        return;
+    }
+    demand_since = now;
+    host->post_control([receiver = demand_receiver, demand = requests->take_demand(), period] {
+        receiver(demand, period);
+    });
+}
+
 void serving_traffic::state::answer_readiness(const std::shared_ptr<http::exchange>& exchange) const {
     http::response answer;
     answer.head.status = requests->ready() && !draining ? status_ok : status_unavailable;
@@ -166,6 +184,7 @@
     BOOST_OUTCOME_TRY(log, host.find<event_log>(event_log_service_name()));
     BOOST_OUTCOME_TRY(metrics, host.find<metrics_registry>(metrics_service_name()));
     state& s = *m_state;
+    s.host = &host;
     s.log = log;
     s.metrics = metrics;
     s.client = std::make_unique<http::client>(s.context, http::client_limits{});
@@ -214,6 +233,10 @@
     m_state->thread.join();
 }
 
+void serving_traffic::on_demand(demand_hook hook) {
+    asio::post(m_state->context, [s = m_state.get(), hook = std::move(hook)] { s->demand_receiver = hook; });
+}
+
 void serving_traffic::adopt(std::shared_ptr<const route_table> routes) {
     asio::post(m_state->context, [s = m_state.get(), routes = std::move(routes)] {
         s->requests->adopt(routes);
