--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -139,8 +139,8 @@
     begin_attempt(std::move(next));
 }
 
-void forwarded_request::send_continuation(const kv_source& source, const placed_engine& prefill) {
-    const auto decode = place_decode(m_shared->pool, *m_service, prefill.zone, constraints(),
+void forwarded_request::send_continuation(const kv_source& source, const availability_zone_id& near_zone) {
+    const auto decode = place_decode(m_shared->pool, *m_service, near_zone, constraints(),
                                      m_shared->policy.placement, now());
     if (!decode) {
         m_prefill_failed = true;
@@ -379,12 +379,13 @@
     m_source = kv_source{server.address, handle.value()};
     settle(attempt_result::answered);
     --m_sends; // an accepted prefill is no attempt at the request
-    send_continuation(*m_source, server);
+    send_continuation(*m_source, server.zone);
 }
 
 void forwarded_request::on_failed(const error& why) {
     const bool was_sent = m_attempt->sent;
     const bool reads_only = m_attempt->stage == attempt_stage::prefill;
+    const availability_zone_id zone = m_attempt->server.zone;
     if (!was_sent || why.code == errc::backend_overloaded || why.code == errc::backend_unreachable) {
         settle(why.code == errc::backend_overloaded ? std::optional<attempt_result>()
                                                     : std::optional(attempt_result::unreachable));
@@ -394,7 +395,11 @@
             return;
         }
         m_shared->log->warning("attempt_not_sent", {{"request", m_call.id}, {"reason", why.detail}});
-        send_next();
+        if (m_source) {
+            send_continuation(*m_source, zone);
+        } else {
+            send_next();
+        }
         return;
     }
     settle(attempt_result::broken);
@@ -448,8 +453,8 @@
                                                  {"status", ended.head.status},
                                                  {"after_ms", now() - ended.started}});
     }
-    if (ended.source && result && (*result == attempt_result::answered || *result == attempt_result::refused)) {
-        m_source.reset(); // taken, or gone
+    if (ended.source && result == attempt_result::answered) {
+        m_source.reset(); // taken
     }
 }
 
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -40,7 +40,7 @@
     void send_next();
     void send_generation();
     void send_plain();
-    void send_continuation(const kv_source& source, const placed_engine& prefill);
+    void send_continuation(const kv_source& source, const availability_zone_id& near_zone);
     void begin_attempt(attempt next);
     [[nodiscard]] placement_constraints constraints() const;
     [[nodiscard]] std::optional<duration> attempt_patience(const attempt& next) const;
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -385,6 +385,22 @@
     EXPECT_TRUE(caller->ended);
 }
 
+// Guards against prompts that are read again because the engine that should continue can't be reached: each such
+// read was an arrival beyond the first of its request, outside of the retry budget.
+TEST_F(prefill_forwarder_fixture, kv_cache_goes_to_another_engine_when_the_first_cannot_be_reached) {
+    const auto caller = send_long("/stream/1");
+    answer(200, {}, "handle7");
+    const endpoint first = m_calls[1]->to;
+    break_call(errc::backend_unreachable);
+    ASSERT_EQ(m_calls.size(), 3U);
+    EXPECT_NE(m_calls[2]->to, first);
+    EXPECT_TRUE(call().has("source: f1:1/handle7"));
+    EXPECT_FALSE(call().has("stage: prefill"));
+    begin_stream("id: 1\ndata: a\n\n");
+    call().hooks.end();
+    EXPECT_TRUE(caller->ended);
+}
+
 // Guards against a false 'outcome unknown' after a prefill, which never runs the request.
 TEST_F(prefill_forwarder_fixture, broken_prefill_is_followed_by_the_whole_request) {
     const auto caller = send_long("/stream/1");
