Never report a written request as unsent

Its timer had been cancelled, but the handler was due already and reported the call as unsent; the claim had just been written, and was sent to another server. Ruled out: the order of the platform's events (the log shows the second attempt after 'connect timeout' of a connection that delivered the request).

--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -16,8 +16,9 @@
 
 /// @brief What a watcher learns about its kind.
 struct watcher_hooks {
-    /// @brief Longest wait of one watch. A watch that is cut silently is noticed after this time and the allowance
-    /// of the client for an answer, which must stay below the time within which changes have to be known.
+    /// @brief Longest wait of one watch. A watch that is cut silently is noticed after this time and the
+    /// allowance of the client for an answer, which must stay below the time within which changes have to be
+    /// known.
     milliseconds watch_wait{2000};
     std::function<void(std::vector<directory_object> all, object_version as_of)> listed;
     std::function<void(const object_event_batch& batch)> changed;
@@ -28,7 +29,8 @@
     random_hook random;
 };
 
-/// @brief Follows all objects of one kind: a complete list, then its changes; a new list when history is lost.
+/// @brief Follows all objects of one kind: a complete list, then its changes; a new list when history is
+/// lost.
 ///
 /// All calls happen on the control thread.
 class kind_watcher : public std::enable_shared_from_this<kind_watcher> {
--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -51,10 +51,11 @@
     std::function<void(object_version after, milliseconds wait, event_callback)> watch;
 };
 
-/// @brief One object that the system keeps in the store. Callbacks run on the control thread, each exactly once.
+/// @brief One object that the system keeps in the store. Callbacks run on the control thread, each exactly
+/// once.
 struct object_slot {
-    /// @brief Reads the object; `object_not_found` if there is none. A stale read may return an older state and
-    /// costs less.
+    /// @brief Reads the object; `object_not_found` if there is none. A stale read may return an older state
+    /// and costs less.
     std::function<void(bool stale, std::function<void(result<directory_object>)>)> read;
     /// @brief Writes the object if its revision is still `expected`; 0 creates it. Returns the new revision,
     /// `version_conflict`, `platform_answer_lost` if the write may take effect, or a failure without effect.
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -94,7 +94,8 @@
     /// @brief Requests that have no final answer yet.
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] const route_table* routes() const;
-    /// @brief Tokens of prompts that had to be read and tokens that were generated since the last call, by service.
+    /// @brief Tokens of prompts that had to be read and tokens that were generated since the last call, by
+    /// service.
     [[nodiscard]] std::map<backend_service_id, token_totals> take_demand();
     /// @brief Sets gauges about beliefs, for the metrics page.
     void publish_beliefs() const;
--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -41,7 +41,8 @@
     double least_fetch_tokens = 256;
     /// @brief Other entry hosts send work too; own queued work is counted this many times.
     double queue_share_factor = 2.0;
-    /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't know.
+    /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't
+    /// know.
     double home_hit_rate = 0.7;
     /// @brief A server that owed an answer for longer without a byte is used only if there is no other.
     duration engine_silence = milliseconds(1500);
@@ -90,10 +91,11 @@
 
 /// @brief Chooses the engine that continues from the KV cache of another.
 /// @return nothing if no other engine takes new work
-[[nodiscard]] std::optional<placed_engine>
-place_decode(const backend_pool& pool, const backend_service& service,
-             const availability_zone_id& prefill_zone, const placement_constraints& constraints,
-             const placement_policy& policy, time_point now);
+[[nodiscard]] std::optional<placed_engine> place_decode(const backend_pool& pool,
+                                                        const backend_service& service,
+                                                        const availability_zone_id& prefill_zone,
+                                                        const placement_constraints& constraints,
+                                                        const placement_policy& policy, time_point now);
 
 /// @brief Chooses the server for a call of a plain service.
 /// @return nothing if no server of the service takes new work
--- a/include/parsleypitch/http/client.hpp
+++ b/include/parsleypitch/http/client.hpp
@@ -79,7 +79,8 @@
     client(client&&) = delete;
     client& operator=(client&&) = delete;
 
-    /// @brief Starts a call. `failed` is called with `backend_overloaded` if the endpoint has no connection free.
+    /// @brief Starts a call. `failed` is called with `backend_overloaded` if the endpoint has no connection
+    /// free.
     call_handle start(const endpoint& to, std::string bytes, call_options options, call_hooks hooks);
     /// @brief Whether a call to this endpoint could start now.
     [[nodiscard]] bool has_room(const endpoint& to) const;
--- a/include/parsleypitch/http/message.hpp
+++ b/include/parsleypitch/http/message.hpp
@@ -40,8 +40,8 @@
 
 /// @brief Removes the fields that concern one connection only (RFC 9110, 7.6.1).
 ///
-/// Fields named by `Connection` are removed too, except those in `kept`: a sender could otherwise have a field
-/// dropped on which the receiver relies.
+/// Fields named by `Connection` are removed too, except those in `kept`: a sender could otherwise have a
+/// field dropped on which the receiver relies.
 void remove_hop_by_hop(header_list& headers, const std::vector<std::string_view>& kept);
 
 /// @brief A request with its whole body.
--- a/include/parsleypitch/http/parser.hpp
+++ b/include/parsleypitch/http/parser.hpp
@@ -20,8 +20,8 @@
 
 /// @brief Reads one request; a new parser is needed for the next.
 ///
-/// A message is refused if its framing is ambiguous: several or conflicting lengths, a length beside chunks, a
-/// transfer coding other than `chunked`, line ends without CR, or several `Host` fields.
+/// A message is refused if its framing is ambiguous: several or conflicting lengths, a length beside chunks,
+/// a transfer coding other than `chunked`, line ends without CR, or several `Host` fields.
 class request_parser {
   public:
     explicit request_parser(message_limits limits);
--- a/include/parsleypitch/http/server.hpp
+++ b/include/parsleypitch/http/server.hpp
@@ -28,8 +28,8 @@
 
 /// @brief One request of a client and the way to answer it; all calls happen on the thread of the listener.
 ///
-/// An answer is either one `respond`, or `begin`, any number of `write`, and `end`. After `abort`, or once the
-/// client has gone, all of these do nothing.
+/// An answer is either one `respond`, or `begin`, any number of `write`, and `end`. After `abort`, or once
+/// the client has gone, all of these do nothing.
 class exchange {
   public:
     exchange() = default;
@@ -58,7 +58,8 @@
 /// @brief Builds the answer to a message that the parser refused.
 using fault_answer_hook = std::function<response(parse_fault)>;
 
-/// @brief Listens on one endpoint and hands each request to a handler; requests of one connection run in turn.
+/// @brief Listens on one endpoint and hands each request to a handler; requests of one connection run in
+/// turn.
 class server {
   public:
     /// @brief Shared with the connections, which may outlive this object.
--- a/include/parsleypitch/logging/event_log.hpp
+++ b/include/parsleypitch/logging/event_log.hpp
@@ -48,8 +48,8 @@
 
 /// @brief Writes one JSON object a line, without ever waiting for the reader; safe for all threads.
 ///
-/// Lines collect in memory until `flush`, which somebody has to call regularly. What is left out, because there
-/// are too many lines or because nobody reads, is counted and reported in a line of its own later.
+/// Lines collect in memory until `flush`, which somebody has to call regularly. What is left out, because
+/// there are too many lines or because nobody reads, is counted and reported in a line of its own later.
 class event_log final : public service {
   public:
     explicit event_log(event_log_options options = {});
--- a/include/parsleypitch/serving/serving_roles.hpp
+++ b/include/parsleypitch/serving/serving_roles.hpp
@@ -17,9 +17,9 @@
 /// @brief Keeps the lease under which one host gives orders to engines, and gives them.
 ///
 /// A term begins with a pause, so that orders of two holders are never closer than the platform allows: the
-/// earlier holder stops `lease_margin` before its lease ends, the next one acquires it `lease_margin` after that
-/// and waits for the pause. The lease is checked again when an order is written to its connection. Its state
-/// belongs to the control thread.
+/// earlier holder stops `lease_margin` before its lease ends, the next one acquires it `lease_margin` after
+/// that and waits for the pause. The lease is checked again when an order is written to its connection. Its
+/// state belongs to the control thread.
 class serving_roles final : public service, public std::enable_shared_from_this<serving_roles> {
   public:
     /// @param slot the lease in the store
@@ -40,7 +40,8 @@
     void read_lease(bool stale);
     void write_lease(time_point now);
     void on_read(const result<directory_object>& read, time_point at);
-    void on_written(const lease_proposal& proposal, const result<object_version>& written, time_point sent_at);
+    void on_written(const lease_proposal& proposal, const result<object_version>& written,
+                    time_point sent_at);
     void announce(time_point now);
     void give_orders(time_point now);
     void send(const role_change& change);
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -23,13 +23,14 @@
 
     [[nodiscard]] service_name name() const override;
     [[nodiscard]] result<void> start(kernel& host) override;
-    /// @brief Reports not ready, serves what still arrives, and returns when no request is open or the grace is
-    /// nearly over.
+    /// @brief Reports not ready, serves what still arrives, and returns when no request is open or the grace
+    /// is nearly over.
     void drain() override;
     void stop() override;
 
     /// @brief Called on the control thread with the demand of each period.
-    using demand_hook = std::function<void(const std::map<backend_service_id, token_totals>&, duration period)>;
+    using demand_hook =
+        std::function<void(const std::map<backend_service_id, token_totals>&, duration period)>;
     /// @brief Sets the receiver of the demand; to be called before the process serves requests.
     void on_demand(demand_hook hook);
 
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -81,7 +81,8 @@
 
 command serve_command(platform_adapter adapter) {
     const std::string summary = "run an entry host on the platform";
-    return {"serve", summary, [summary, adapter = std::move(adapter)](const std::vector<std::string>& arguments) {
+    return {"serve", summary,
+            [summary, adapter = std::move(adapter)](const std::vector<std::string>& arguments) {
                 cxxopts::Options options("parsleypitch serve", summary);
                 options.add_options()("h,help", "print this help");
                 std::vector<const char*> argv = {"parsleypitch"};
--- a/src/core/hooks.cpp
+++ b/src/core/hooks.cpp
@@ -1,11 +1,10 @@
 #include <parsleypitch/core/hooks.hpp>
 
+#include <ctime>
 #include <memory>
 #include <mutex>
 #include <random>
 
-#include <ctime>
-
 namespace parsleypitch {
 
 clock_hook steady_clock_hook() {
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -36,11 +36,12 @@
 }
 
 void kind_watcher::watch() {
-    m_source.watch(m_known, m_hooks.watch_wait, [self = shared_from_this()](result<object_event_batch> batch) {
-        if (!self->m_stopped) {
-            self->on_events(std::move(batch));
-        }
-    });
+    m_source.watch(m_known, m_hooks.watch_wait,
+                   [self = shared_from_this()](result<object_event_batch> batch) {
+                       if (!self->m_stopped) {
+                           self->on_events(std::move(batch));
+                       }
+                   });
 }
 
 void kind_watcher::on_events(result<object_event_batch> batch) {
@@ -68,8 +69,9 @@
 
 void kind_watcher::retry(const error& why, std::function<void()> step) {
     const auto half = m_delay / 2;
-    const duration delay = half + duration(static_cast<duration::rep>(
-                                      m_hooks.random(static_cast<std::uint64_t>(half.count()) + 1)));
+    const duration delay =
+        half +
+        duration(static_cast<duration::rep>(m_hooks.random(static_cast<std::uint64_t>(half.count()) + 1)));
     m_delay = std::min<duration>(m_delay * 2, longest_retry_delay);
     m_hooks.failed(why, delay);
     m_hooks.schedule(delay, [self = shared_from_this(), step = std::move(step)] {
--- a/src/fleet/fleet_directory.cpp
+++ b/src/fleet/fleet_directory.cpp
@@ -17,7 +17,8 @@
     return m_contact_returned && now < *m_contact_returned + lapse_report_time;
 }
 
-void fleet_directory::replace(std::vector<backend_server_entry> listed, object_version as_of, time_point now) {
+void fleet_directory::replace(std::vector<backend_server_entry> listed, object_version as_of,
+                              time_point now) {
     contact(now);
     std::set<backend_server_id> present;
     for (backend_server_entry& entry : listed) {
--- a/src/fleet/role_balance.cpp
+++ b/src/fleet/role_balance.cpp
@@ -112,9 +112,8 @@
 }
 
 std::vector<role_change> role_balance::changes(time_point now) {
-    std::erase_if(m_ordered, [this, now](const auto& each) {
-        return now - each.second.at > m_policy.order_patience;
-    });
+    std::erase_if(m_ordered,
+                  [this, now](const auto& each) { return now - each.second.at > m_policy.order_patience; });
     std::vector<role_change> made;
     if (m_engines.empty() || now - m_changed_at < m_policy.settle_time) {
         return made;
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -157,8 +157,8 @@
     case attempt_result::answered:
     case attempt_result::failed:
         state->failures_in_row = 0;
-        state->failure_share += detail::failure_weight *
-                                ((*result == attempt_result::failed ? 1.0 : 0.0) - state->failure_share);
+        state->failure_share +=
+            detail::failure_weight * ((*result == attempt_result::failed ? 1.0 : 0.0) - state->failure_share);
         break;
     case attempt_result::refused:
         detail::avoid(*state, now + detail::refusal_avoidance);
--- a/src/forwarding/cache_follower.cpp
+++ b/src/forwarding/cache_follower.cpp
@@ -48,11 +48,10 @@
         state->timeout();
         self->ask_later(id);
     };
-    state->timeout =
-        m_shared->hooks.start_timer(cache_query_wait + cache_query_allowance, [self, state, id] {
-            state->call.cancel();
-            self->ask_later(id);
-        });
+    state->timeout = m_shared->hooks.start_timer(cache_query_wait + cache_query_allowance, [self, state, id] {
+        state->call.cancel();
+        self->ask_later(id);
+    });
     state->call =
         m_shared->hooks.start_call(server->entry.address, http::serialize(message), {}, std::move(hooks));
 }
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -8,8 +8,8 @@
 
 /// @brief One request of a caller from its arrival to its final answer.
 ///
-/// It sends attempts one after the other. After each it knows whether the request ran, may have run, or did not
-/// run, and answers or sends another attempt accordingly.
+/// It sends attempts one after the other. After each it knows whether the request ran, may have run, or did
+/// not run, and answers or sends another attempt accordingly.
 class forwarded_request : public std::enable_shared_from_this<forwarded_request> {
   public:
     forwarded_request(std::shared_ptr<forwarder::state> shared, std::shared_ptr<http::exchange> exchange)
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -111,7 +111,8 @@
     }
     for (const std::string condition : {"draining", "avoided", "probation", "usable"}) {
         for (const engine_role role : {engine_role::mixed, engine_role::prefill, engine_role::decode}) {
-            gauge("parsleypitch_backend_servers", {{"condition", condition}, {"role", std::string(to_string(role))}},
+            gauge("parsleypitch_backend_servers",
+                  {{"condition", condition}, {"role", std::string(to_string(role))}},
                   by_state[condition + "," + std::string(to_string(role))]);
         }
     }
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -151,14 +151,14 @@
         return zone_penalty(prefill) + zone_penalty(decode) + transfer * m_policy.transfer_penalty_ms;
     }
     /// Engines of the mixed role read prompts as fast as prefill engines, so little is delayed there.
-    [[nodiscard]] double interference_penalty(const backend_state& engine, const placed_engine& placed) const {
+    [[nodiscard]] double interference_penalty(const backend_state& engine,
+                                              const placed_engine& placed) const {
         if (engine.entry.role != engine_role::decode) {
             return 0;
         }
         const double work = placed.wait_ms + placed.prefill_ms;
         return m_policy.interference_weight * placed.prefill_ms +
-               m_policy.excess_interference_weight *
-                   std::max(0.0, work - m_policy.tolerated_interference_ms);
+               m_policy.excess_interference_weight * std::max(0.0, work - m_policy.tolerated_interference_ms);
     }
     [[nodiscard]] double reread_penalty(const placed_engine& placed) const {
         const double missing = std::max(0.0, shared_tokens() - placed.cached_tokens);
@@ -201,7 +201,8 @@
         const double missing = m_holder_tokens - placed.cached_tokens;
         if (m_holder != nullptr && m_holder != &engine && missing > m_policy.least_fetch_tokens) {
             placed.fetch_from = m_holder->entry.address;
-            placed.fetch_ms = transfer_ms(missing, m_holder->entry.zone == engine.entry.zone, m_figures, m_policy);
+            placed.fetch_ms =
+                transfer_ms(missing, m_holder->entry.zone == engine.entry.zone, m_figures, m_policy);
             placed.cached_tokens = m_holder_tokens;
         }
         placed.prefill_ms =
@@ -226,8 +227,8 @@
     [[nodiscard]] generation_placement whole_on(const backend_state& decode) const {
         generation_placement plan;
         plan.decode = reading(decode);
-        plan.first_token_ms = m_policy.read_setup_ms + plan.decode.wait_ms + plan.decode.fetch_ms + plan.decode.prefill_ms +
-                              first_step_ms(decode) + zone_delay(decode);
+        plan.first_token_ms = m_policy.read_setup_ms + plan.decode.wait_ms + plan.decode.fetch_ms +
+                              plan.decode.prefill_ms + first_step_ms(decode) + zone_delay(decode);
         return plan;
     }
 
@@ -238,8 +239,9 @@
         plan.decode = describe(decode);
         const double transfer = transfer_ms(static_cast<double>(m_work.prompt.value()),
                                             prefill.entry.zone == decode.entry.zone, m_figures, m_policy);
-        plan.first_token_ms = m_policy.read_setup_ms + plan.prefill->wait_ms + plan.prefill->fetch_ms + plan.prefill->prefill_ms +
-                              transfer + first_step_ms(decode) + zone_delay(prefill) + zone_delay(decode);
+        plan.first_token_ms = m_policy.read_setup_ms + plan.prefill->wait_ms + plan.prefill->fetch_ms +
+                              plan.prefill->prefill_ms + transfer + first_step_ms(decode) +
+                              zone_delay(prefill) + zone_delay(decode);
         return plan;
     }
 
@@ -248,8 +250,8 @@
         double lowest = std::numeric_limits<double>::max();
         for (const backend_state* each : m_decode) {
             const double zone_cost = each->entry.zone == zone ? 0 : m_policy.transfer_penalty_ms;
-            const double load = first_step_ms(*each) + each->recent_excess_ms(m_now) +
-                                each->queued_prefill_ms + zone_cost;
+            const double load =
+                first_step_ms(*each) + each->recent_excess_ms(m_now) + each->queued_prefill_ms + zone_cost;
             if (load < lowest) {
                 lowest = load;
                 chosen = each;
@@ -312,8 +314,8 @@
          detail::candidates(pool, service, constraints, policy.plain_silence, now)) {
         const double zone = each->entry.zone == constraints.own_zone ? 0 : policy.zone_ms;
         const double slots = static_cast<double>(std::max<std::uint64_t>(1, each->entry.slots));
-        // Work in flight of this host stands for that of all; half a second of failing answers is worth as much
-        // as a server with all its slots taken.
+        // Work in flight of this host stands for that of all; half a second of failing answers is worth as
+        // much as a server with all its slots taken.
         const double load = each->running * policy.queue_share_factor / slots + each->failure_share;
         const double score = zone + load * 100 + each->recent_excess_ms(now);
         if (score < lowest) {
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -43,9 +43,9 @@
 }
 
 const backend_service_id* draw_service(const route& of, const random_hook& random) {
-    const std::uint64_t total = std::accumulate(
-        of.services.begin(), of.services.end(), std::uint64_t{0},
-        [](std::uint64_t sum, const weighted_service& each) { return sum + each.weight; });
+    const std::uint64_t total =
+        std::accumulate(of.services.begin(), of.services.end(), std::uint64_t{0},
+                        [](std::uint64_t sum, const weighted_service& each) { return sum + each.weight; });
     if (total == 0) {
         return nullptr;
     }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -9,8 +9,8 @@
 namespace detail {
 
 constexpr std::array<std::string_view, 9> connection_fields = {
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade"};
+    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade"};
 
 char lower(char c) noexcept {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -83,9 +83,8 @@
 
 std::size_t header_list::count(std::string_view name) const {
     return static_cast<std::size_t>(
-        std::count_if(m_fields.begin(), m_fields.end(), [name](const header_field& field) {
-            return equals_ignoring_case(field.name, name);
-        }));
+        std::count_if(m_fields.begin(), m_fields.end(),
+                      [name](const header_field& field) { return equals_ignoring_case(field.name, name); }));
 }
 
 void remove_hop_by_hop(header_list& headers, const std::vector<std::string_view>& kept) {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -30,7 +30,8 @@
         target = text_of(target_text);
         code = {};
     }
-    void on_response_impl(int status, beast_string reason, int /*version*/, beast::error_code& code) override {
+    void on_response_impl(int status, beast_string reason, int /*version*/,
+                          beast::error_code& code) override {
         head.status = static_cast<unsigned>(status);
         head.reason = text_of(reason);
         code = {};
@@ -104,7 +105,8 @@
 /// Beast accepts some transfer codings without reading a body; another server could read one.
 bool framing_is_clear(const header_list& headers) {
     const std::string* coding = headers.find("transfer-encoding");
-    if (headers.count("transfer-encoding") > 1 || (coding != nullptr && !equals_ignoring_case(*coding, "chunked"))) {
+    if (headers.count("transfer-encoding") > 1 ||
+        (coding != nullptr && !equals_ignoring_case(*coding, "chunked"))) {
         return false;
     }
     return headers.count("content-length") <= 1 &&
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,8 +20,8 @@
 constexpr int listen_backlog = 1024;
 /// Connections are checked against their deadlines this often.
 constexpr milliseconds sweep_period{250};
-/// After the last answer of a connection its input is read and dropped this long: closing it with unread bytes
-/// would reset it and could destroy the answer on its way.
+/// After the last answer of a connection its input is read and dropped this long: closing it with unread
+/// bytes would reset it and could destroy the answer on its way.
 constexpr milliseconds linger_time{1000};
 constexpr std::size_t read_size = 16'384;
 /// Bytes of pipelined requests that are kept while one request is being answered.
--- a/src/logging/event_log.cpp
+++ b/src/logging/event_log.cpp
@@ -74,7 +74,8 @@
     explicit state(event_log_options o)
         : options(o), sink(std::make_shared<detail::nonblocking_sink>(o.descriptor, o.buffer)),
           logger("parsleypitch", sink), tokens(o.burst), refilled_at(std::chrono::steady_clock::now()) {
-        logger.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v})", spdlog::pattern_time_type::utc);
+        logger.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v})",
+                           spdlog::pattern_time_type::utc);
     }
 
     /// Takes one line out of the rate; reports how many were left out before it.
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -97,7 +97,8 @@
         if (auto entry = m_access.decode_server(object)) {
             entries.push_back(std::move(entry.value()));
         } else if (m_refused.insert(object.name).second) {
-            m_log->warning("server_entry_refused", {{"entry", object.name}, {"reason", entry.error().detail}});
+            m_log->warning("server_entry_refused",
+                           {{"entry", object.name}, {"reason", entry.error().detail}});
         }
     }
     m_fleet.replace(std::move(entries), as_of, std::chrono::steady_clock::now());
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -70,7 +70,8 @@
     }
 }
 
-void serving_roles::observe_demand(const std::map<backend_service_id, token_totals>& demand, duration period) {
+void serving_roles::observe_demand(const std::map<backend_service_id, token_totals>& demand,
+                                   duration period) {
     for (auto& [id, balance] : m_balances) {
         const auto found = demand.find(id);
         const token_totals totals = found == demand.end() ? token_totals{} : found->second;
@@ -216,7 +217,8 @@
     hooks.head = [self, order](const http::response_head& head) {
         const order_answer answer = self->m_protocol.decode_order_answer(head);
         const bool accepted = answer == order_answer::accepted || answer == order_answer::already_holds;
-        self->m_metrics->count(metric_name("parsleypitch_orders_total"), {{"accepted", accepted ? "1" : "0"}});
+        self->m_metrics->count(metric_name("parsleypitch_orders_total"),
+                               {{"accepted", accepted ? "1" : "0"}});
         self->m_log->info("order_answered",
                           {{"engine", order.target}, {"accepted", accepted}, {"status", head.status}});
     };
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -25,7 +25,8 @@
 constexpr milliseconds grace_reserve{700};
 /// Time for the last answers to be written.
 constexpr milliseconds last_write_time{100};
-/// Clients keep a connection idle up to the configured time; the host waits this much longer before it closes.
+/// Clients keep a connection idle up to the configured time; the host waits this much longer before it
+/// closes.
 constexpr milliseconds idle_close_margin{2000};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
@@ -72,12 +73,17 @@
     };
     hooks.start_timer = [this](duration delay, std::function<void()> task) -> timer_cancel {
         auto timer = std::make_shared<asio::steady_timer>(context, delay);
-        timer->async_wait([timer, task = std::move(task)](const std::error_code& code) {
-            if (!code) {
+        // A handler that is already due runs although its timer was cancelled.
+        auto cancelled = std::make_shared<bool>(false);
+        timer->async_wait([timer, cancelled, task = std::move(task)](const std::error_code& code) {
+            if (!code && !*cancelled) {
                 task();
             }
         });
-        return [timer] { timer->cancel(); };
+        return [timer, cancelled] {
+            *cancelled = true;
+            timer->cancel();
+        };
     };
     hooks.now = steady_clock_hook();
     hooks.random = seeded_random_hook(random_seed());
@@ -116,9 +122,8 @@
         return;
     }
     demand_since = now;
-    host->post_control([receiver = demand_receiver, demand = requests->take_demand(), period] {
-        receiver(demand, period);
-    });
+    host->post_control(
+        [receiver = demand_receiver, demand = requests->take_demand(), period] { receiver(demand, period); });
 }
 
 void serving_traffic::state::answer_readiness(const std::shared_ptr<http::exchange>& exchange) const {
@@ -153,8 +158,8 @@
         callers->close_idle();
     }
     if (over || idle) {
-        log->info("drained", {{"open_requests", std::uint64_t{requests->open_requests()}},
-                              {"after_ms", passed}});
+        log->info("drained",
+                  {{"open_requests", std::uint64_t{requests->open_requests()}}, {"after_ms", passed}});
         requests->end_all();
         drain_timer.expires_after(last_write_time);
         drain_timer.async_wait([done](const std::error_code&) { done->set_value(); });
@@ -190,7 +195,8 @@
     s.client = std::make_unique<http::client>(s.context, http::client_limits{});
     forwarding_policy policy;
     policy.retry = retry_share(s.settings);
-    s.requests = std::make_unique<forwarder>(s.protocol, s.make_hooks(), policy, s.settings.zone, log, metrics);
+    s.requests =
+        std::make_unique<forwarder>(s.protocol, s.make_hooks(), policy, s.settings.zone, log, metrics);
     const auto fault = [&s](http::parse_fault why) { return s.requests->fault_answer(why); };
     s.callers = std::make_unique<http::server>(
         s.context, [&s](const auto& exchange) { s.requests->handle(exchange); }, fault);
--- a/tests/unit-fleet-directory.cpp
+++ b/tests/unit-fleet-directory.cpp
@@ -52,8 +52,8 @@
     EXPECT_EQ(known(), 1U);
 }
 
-// Guards against requests to a leaving server: a removal reported some time after the store returned was taken
-// for a lapse and the server was used for two seconds more.
+// Guards against requests to a leaving server: a removal reported some time after the store returned was
+// taken for a lapse and the server was used for two seconds more.
 TEST_F(fleet_directory_fixture, remove_some_time_after_contact_returned_drops_the_server_at_once) {
     m_fleet.replace({entry("a", 1), entry("b", 1)}, object_version(1), m_now);
     m_fleet.contact_lost(m_now);
