Choose engines of each role on their own when some fail

Cause: a new case found that a request was refused for want of an engine while engines of the needed role existed: if all decode engines were on probation and prefill engines were not, only the latter counted as candidates. Another case crashed: services were destroyed after the event loop that their sockets use. Ruled out: a refusal rule (the placement itself returned nothing). Change: candidates are chosen for each role; the kernel destroys its services before its threads.

--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -44,6 +44,8 @@
     /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't
     /// know.
     double home_hit_rate = 0.7;
+    /// @brief Weight of a plain server with all slots taken, or with nothing but failures, as if it were time.
+    double full_server_ms = 100;
     /// @brief A server that owed an answer for longer without a byte is used only if there is no other.
     duration engine_silence = milliseconds(1500);
     duration plain_silence = milliseconds(350);
--- a/include/parsleypitch/kernel/kernel.hpp
+++ b/include/parsleypitch/kernel/kernel.hpp
@@ -96,9 +96,10 @@
 
     [[nodiscard]] std::shared_ptr<service> lookup(const service_name& name) const;
 
+    // Destroyed after the services, whose sockets belong to the event loop of the control thread.
+    std::unique_ptr<threads> m_threads;
     std::vector<std::shared_ptr<service>> m_services;
     std::size_t m_started = 0;
-    std::unique_ptr<threads> m_threads;
 };
 
 } // namespace parsleypitch
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -29,14 +29,15 @@
     return !candidate.on_probation() || (candidate.running == 0 && !constraints.careful);
 }
 
-/// The healthy candidates, or all that were not tried if none is healthy.
+/// The healthy candidates for which `fits` holds, or all that were not tried if none is healthy.
+template <class Fits>
 std::vector<const backend_state*> candidates(const backend_pool& pool, const backend_service_id& service,
                                              const placement_constraints& constraints, duration silence,
-                                             time_point now) {
+                                             time_point now, Fits fits) {
     std::vector<const backend_state*> untried;
     std::vector<const backend_state*> healthy;
     for (const backend_state* each : pool.of(service)) {
-        if (is_excluded(*each, constraints)) {
+        if (!fits(*each) || is_excluded(*each, constraints)) {
             continue;
         }
         untried.push_back(each);
@@ -47,6 +48,13 @@
     return healthy.empty() ? untried : healthy;
 }
 
+bool reads_only(const backend_state& engine) {
+    return engine.entry.role == engine_role::prefill;
+}
+bool answers(const backend_state& engine) {
+    return !reads_only(engine);
+}
+
 /// The shared parts of a prompt: all but the last, which belongs to one request or session.
 std::span<const prompt_part> shared_parts(const generation_work& work) {
     return std::span(work.parts).first(work.parts.empty() ? 0 : work.parts.size() - 1);
@@ -107,10 +115,8 @@
                       time_point now)
         : m_pool(pool), m_figures(service.engine.value_or(engine_figures{})), m_work(work),
           m_constraints(constraints), m_policy(policy), m_now(now) {
-        for (const backend_state* each :
-             candidates(pool, service.id, constraints, policy.engine_silence, now)) {
-            (each->entry.role == engine_role::prefill ? m_prefill : m_decode).push_back(each);
-        }
+        m_prefill = candidates(pool, service.id, constraints, policy.engine_silence, now, reads_only);
+        m_decode = candidates(pool, service.id, constraints, policy.engine_silence, now, answers);
         m_prefill_home = home_of(m_prefill, shared_parts(work));
         m_decode_home = home_of(m_decode, shared_parts(work));
         find_holder();
@@ -289,11 +295,8 @@
                                           const placement_policy& policy, time_point now) {
     const backend_state* chosen = nullptr;
     double lowest = std::numeric_limits<double>::max();
-    for (const backend_state* each :
-         detail::candidates(pool, service.id, constraints, policy.engine_silence, now)) {
-        if (each->entry.role == engine_role::prefill) {
-            continue;
-        }
+    for (const backend_state* each : detail::candidates(pool, service.id, constraints, policy.engine_silence,
+                                                        now, detail::answers)) {
         const double zone_cost = each->entry.zone == prefill_zone ? 0 : policy.transfer_penalty_ms;
         const double load = policy.step_ms_per_request * each->running + each->recent_excess_ms(now) +
                             each->queued_prefill_ms + zone_cost;
@@ -310,8 +313,9 @@
                                         const placement_policy& policy, time_point now) {
     const backend_state* chosen = nullptr;
     double lowest = std::numeric_limits<double>::max();
+    const auto any = [](const backend_state&) { return true; };
     for (const backend_state* each :
-         detail::candidates(pool, service, constraints, policy.plain_silence, now)) {
+         detail::candidates(pool, service, constraints, policy.plain_silence, now, any)) {
         const double zone = each->entry.zone == constraints.own_zone ? 0 : policy.zone_ms;
         const double slots = static_cast<double>(std::max<std::uint64_t>(1, each->entry.slots));
         // Work in flight of this host stands for that of all; half a second of failing answers is worth as
--- /dev/null
+++ b/tests/unit-backend-pool.cpp
@@ -0,0 +1,197 @@
+#include <parsleypitch/forwarding/backend_pool.hpp>
+#include <parsleypitch/forwarding/placement.hpp>
+
+#include <gtest/gtest.h>
+
+namespace parsleypitch {
+
+class backend_pool_fixture : public testing::Test {
+  protected:
+    static backend_server_entry engine(const std::string& id, engine_role role, const std::string& zone = "z1",
+                                       std::uint64_t born = 1) {
+        backend_server_entry made;
+        made.id = backend_server_id(id);
+        made.born = incarnation(born);
+        made.service = backend_service_id("m");
+        made.address = endpoint(id + ":1");
+        made.zone = availability_zone_id(zone);
+        made.role = role;
+        made.slots = 64;
+        return made;
+    }
+    void adopt(std::vector<backend_server_entry> servers) {
+        auto snapshot = std::make_shared<fleet_snapshot>();
+        snapshot->servers = std::move(servers);
+        m_pool.adopt(std::shared_ptr<const fleet_snapshot>(snapshot));
+    }
+    [[nodiscard]] double cached(const std::string& id) const {
+        return m_pool.cached_tokens(backend_server_id(id), m_parts, m_now);
+    }
+    void fail_once(const std::string& id) {
+        m_pool.note_sent(backend_server_id(id), 0, m_now);
+        m_pool.note_ended(backend_server_id(id), attempt_result::broken, m_now);
+    }
+    static cache_report report(std::uint64_t epoch, std::vector<cache_change> changes) {
+        return {incarnation(epoch), cache_position(1), false, std::move(changes)};
+    }
+
+    backend_pool m_pool;
+    time_point m_now{seconds(1000)};
+    const std::vector<prompt_part> m_parts = {{prompt_part_id("p"), token_count(1000)},
+                                              {prompt_part_id("q"), token_count(500)},
+                                              {prompt_part_id("own"), token_count(200)}};
+};
+
+// Guards against cached parts that can't be used because one before them is missing.
+TEST_F(backend_pool_fixture, cached_tokens_end_at_the_first_part_that_is_not_kept_whole) {
+    adopt({engine("a", engine_role::prefill)});
+    const backend_server_id a("a");
+    m_pool.note_cache_report(a, report(1, {{prompt_part_id("q"), token_count(500)}}));
+    EXPECT_EQ(cached("a"), 0);
+    m_pool.note_cache_report(a, report(1, {{prompt_part_id("p"), token_count(800)}}));
+    EXPECT_EQ(cached("a"), 800);
+    m_pool.note_cache_report(a, report(1, {{prompt_part_id("p"), token_count(1000)}}));
+    EXPECT_EQ(cached("a"), 1500);
+    m_pool.note_cache_report(a, report(1, {{prompt_part_id("p"), token_count(0)}}));
+    EXPECT_EQ(cached("a"), 0);
+}
+
+// Guards against beliefs about a cache that a restart has emptied.
+TEST_F(backend_pool_fixture, restart_of_an_engine_empties_what_is_believed_of_it) {
+    adopt({engine("a", engine_role::prefill)});
+    m_pool.note_cache_report(backend_server_id("a"), report(1, {{prompt_part_id("p"), token_count(1000)}}));
+    m_pool.note_cached(backend_server_id("a"), m_parts, m_now);
+    EXPECT_GT(cached("a"), 0);
+    adopt({engine("a", engine_role::prefill, "z1", 2)});
+    EXPECT_EQ(cached("a"), 0);
+    m_pool.note_cache_report(backend_server_id("a"), report(1, {{prompt_part_id("p"), token_count(1000)}}));
+    m_pool.note_cache_report(backend_server_id("a"), report(2, {}));
+    EXPECT_EQ(cached("a"), 0);
+}
+
+// Guards against parts that are read twice because no report shows the first read yet.
+TEST_F(backend_pool_fixture, own_send_counts_as_cached_for_a_short_time) {
+    adopt({engine("a", engine_role::prefill)});
+    m_pool.note_cached(backend_server_id("a"), m_parts, m_now);
+    EXPECT_DOUBLE_EQ(cached("a"), 1700);
+    m_now += 10 * own_send_half_life;
+    EXPECT_EQ(cached("a"), 0);
+}
+
+// Guards against servers that are tried without pause while they fail, and against never trying them again.
+TEST_F(backend_pool_fixture, failing_server_is_avoided_for_longer_each_time_and_then_tried) {
+    adopt({engine("a", engine_role::mixed)});
+    fail_once("a");
+    const duration first = m_pool.find(backend_server_id("a"))->avoid_until - m_now;
+    m_now += first;
+    fail_once("a");
+    const duration second = m_pool.find(backend_server_id("a"))->avoid_until - m_now;
+    EXPECT_EQ(second, 2 * first);
+    EXPECT_TRUE(m_pool.find(backend_server_id("a"))->on_probation());
+    m_pool.note_sent(backend_server_id("a"), 0, m_now);
+    m_pool.note_ended(backend_server_id("a"), attempt_result::answered, m_now);
+    EXPECT_FALSE(m_pool.find(backend_server_id("a"))->on_probation());
+}
+
+// Guards against work for servers that leave, and against forgetting work in flight on those that changed.
+TEST_F(backend_pool_fixture, draining_server_takes_no_new_work_and_keeps_its_count) {
+    adopt({engine("a", engine_role::mixed), engine("b", engine_role::mixed)});
+    m_pool.note_sent(backend_server_id("a"), 0, m_now);
+    backend_server_entry draining = engine("a", engine_role::mixed);
+    draining.draining = true;
+    adopt({draining, engine("b", engine_role::mixed)});
+    ASSERT_EQ(m_pool.of(backend_service_id("m")).size(), 1U);
+    EXPECT_EQ(m_pool.find(backend_server_id("a"))->running, 1U);
+}
+
+class placement_fixture : public backend_pool_fixture {
+  protected:
+    void SetUp() override {
+        m_service.id = backend_service_id("m");
+        m_service.engine = engine_figures{};
+        m_limits.own_zone = availability_zone_id("z1");
+        adopt({engine("p1", engine_role::prefill), engine("p2", engine_role::prefill, "z2"),
+               engine("d1", engine_role::decode), engine("d2", engine_role::decode, "z2")});
+    }
+    static generation_work work(std::int64_t shared, std::int64_t own) {
+        generation_work made;
+        made.prompt = token_count(shared + own);
+        made.parts = {{prompt_part_id("s"), token_count(shared)}, {prompt_part_id("own"), token_count(own)}};
+        return made;
+    }
+    [[nodiscard]] std::optional<generation_placement> place(const generation_work& wanted) const {
+        return place_generation(m_pool, m_service, wanted, m_limits, m_policy, m_now);
+    }
+
+    backend_service m_service;
+    placement_constraints m_limits;
+    placement_policy m_policy;
+};
+
+// Guards against streams that pause because their engine reads a long prompt.
+TEST_F(placement_fixture, long_prompt_is_read_by_a_prefill_engine) {
+    const auto plan = place(work(100, 15'000));
+    ASSERT_TRUE(plan && plan->prefill);
+    EXPECT_TRUE(plan->prefill->id == backend_server_id("p1") || plan->prefill->id == backend_server_id("p2"));
+}
+
+// Guards against moving KV caches that take longer than reading the prompt.
+TEST_F(placement_fixture, short_prompt_is_read_where_it_is_answered) {
+    const auto plan = place(work(0, 300));
+    ASSERT_TRUE(plan);
+    EXPECT_FALSE(plan->prefill);
+    EXPECT_EQ(plan->decode.id, backend_server_id("d1"));
+}
+
+// Guards against shared parts that are read again although an engine keeps them.
+TEST_F(placement_fixture, shared_parts_are_fetched_from_the_engine_that_keeps_them) {
+    m_pool.note_cache_report(backend_server_id("p2"), report(1, {{prompt_part_id("s"), token_count(13'000)}}));
+    m_pool.note_sent(backend_server_id("p2"), 3000, m_now); // busy
+    const auto plan = place(work(13'000, 4'000));
+    ASSERT_TRUE(plan && plan->prefill);
+    EXPECT_EQ(plan->prefill->id, backend_server_id("p1"));
+    EXPECT_EQ(plan->prefill->fetch_from, endpoint("p2:1"));
+    EXPECT_EQ(plan->prefill->cached_tokens, 13'000);
+}
+
+// Guards against a cache that is left alone although its engine has time.
+TEST_F(placement_fixture, engine_that_keeps_the_shared_parts_is_preferred) {
+    m_pool.note_cache_report(backend_server_id("p2"), report(1, {{prompt_part_id("s"), token_count(13'000)}}));
+    const auto plan = place(work(13'000, 4'000));
+    ASSERT_TRUE(plan && plan->prefill);
+    EXPECT_EQ(plan->prefill->id, backend_server_id("p2"));
+    EXPECT_TRUE(plan->prefill->fetch_from.empty());
+}
+
+// Guards against requests that find no engine while one works.
+TEST_F(placement_fixture, failing_engines_are_used_only_if_there_is_no_other) {
+    fail_once("d1");
+    EXPECT_EQ(place(work(0, 300))->decode.id, backend_server_id("d2"));
+    fail_once("d2");
+    EXPECT_TRUE(place(work(0, 300)));
+    m_limits.excluded = {backend_server_id("d1"), backend_server_id("d2")};
+    EXPECT_FALSE(place(work(0, 300)));
+}
+
+// Guards against bookings that try out servers whose last answers were lost.
+TEST_F(placement_fixture, careful_call_avoids_servers_on_probation) {
+    fail_once("d1");
+    fail_once("p1");
+    fail_once("p2");
+    m_now += seconds(1); // avoidance is over
+    m_limits.careful = true;
+    EXPECT_EQ(place_call(m_pool, m_service.id, m_limits, m_policy, m_now)->id, backend_server_id("d2"));
+    m_limits.careful = false;
+    EXPECT_EQ(place_call(m_pool, m_service.id, m_limits, m_policy, m_now)->zone, availability_zone_id("z1"));
+}
+
+// Guards against calls that wait behind others on one server.
+TEST_F(placement_fixture, call_goes_to_a_server_with_less_work) {
+    for (int i = 0; i < 30; ++i) {
+        m_pool.note_sent(backend_server_id("d1"), 0, m_now);
+        m_pool.note_sent(backend_server_id("p1"), 0, m_now);
+    }
+    EXPECT_EQ(place_call(m_pool, m_service.id, m_limits, m_policy, m_now)->zone, availability_zone_id("z2"));
+}
+
+} // namespace parsleypitch
