Share the work in flight between entry hosts

Cause: each host saw only its own requests at an engine. Asking engines for reports costs a probe each. Change: hosts enter themselves into a list in the store and send each other datagrams of their queued prefill work, 150 ms apart, 500 ms when idle; a report counts for 700 ms. Questions about caches that an engine can't hold are asked without waiting, and failures of them are counted and logged. Tests: reports that overtake, stop, or come from anybody. One case of the lease failed once on a busy machine: it waited a fixed number of simulated seconds for checks that run in real time; it now waits for the orders, with the same bounds.

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/fleet/backend_server_entry.hpp>
 #include <parsleypitch/forwarding/backend_protocol.hpp>
+#include <parsleypitch/forwarding/peer_load.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
 #include <map>
@@ -84,6 +85,16 @@
     /// @brief Takes a server's own report of its cache.
     void note_cache_report(const backend_server_id& id, const cache_report& report);
 
+    /// @brief Takes what another entry host says of its work.
+    void note_peer(const load_report& report, time_point now) { m_peer_load.note(report, now); }
+    void expire_peers(time_point now) { m_peer_load.expire(now); }
+    /// @brief Own prefill work in flight, for the other entry hosts.
+    [[nodiscard]] std::vector<server_load> own_loads() const;
+    /// @brief Prefill work in flight on a server from all entry hosts.
+    /// @param unheard_factor own work counts this many times while no other host is heard of
+    [[nodiscard]] double queued_prefill_ms(const backend_state& server, double unheard_factor) const;
+    [[nodiscard]] std::size_t peers() const noexcept { return m_peer_load.peers(); }
+
     /// @brief Tokens at the front of a prompt that the server probably keeps.
     [[nodiscard]] double cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
                                        time_point now) const;
@@ -92,6 +103,7 @@
     std::shared_ptr<const fleet_snapshot> m_snapshot;
     std::map<backend_server_id, backend_state> m_states;
     std::map<backend_service_id, std::vector<backend_state*>> m_usable;
+    peer_load m_peer_load;
     /// Own sends that the servers' reports may not show yet.
     prefix_index m_prefixes{{.half_life = own_send_half_life}};
 };
--- a/include/parsleypitch/forwarding/cache_follower.hpp
+++ b/include/parsleypitch/forwarding/cache_follower.hpp
@@ -27,9 +27,12 @@
     void ask(const backend_server_id& id);
     void ask_later(const backend_server_id& id);
     void on_answer(const backend_server_id& id, const std::string& body);
+    void on_refused(const backend_server_id& id, const std::string& reason);
 
     std::shared_ptr<forwarder::state> m_shared;
     std::set<backend_server_id> m_followed;
+    /// Servers whose last question failed.
+    std::set<backend_server_id> m_refused;
 };
 
 } // namespace parsleypitch
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -97,6 +97,12 @@
     /// @brief Tokens of prompts that had to be read and tokens that were generated since the last call, by
     /// service.
     [[nodiscard]] std::map<backend_service_id, token_totals> take_demand();
+    /// @brief Own prefill work in flight, for the other entry hosts.
+    [[nodiscard]] std::vector<server_load> own_loads() const;
+    /// @brief Takes what another entry host says of its work.
+    void note_peer(const load_report& report);
+    /// @brief Forgets entry hosts that have fallen silent.
+    void expire_peers();
     /// @brief Sets gauges about beliefs, for the metrics page.
     void publish_beliefs() const;
 
--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -39,12 +39,13 @@
     double reread_penalty_ms_per_thousand = 20;
     /// @brief Fewer missing tokens are read, not fetched.
     double least_fetch_tokens = 256;
-    /// @brief Other entry hosts send work too; own queued work is counted this many times.
+    /// @brief Own queued work counts this many times while no other entry host says what it sends.
     double queue_share_factor = 2.0;
     /// @brief Probability that an engine at home for a prompt keeps its shared parts, if this host doesn't
     /// know.
     double home_hit_rate = 0.7;
-    /// @brief Weight of a plain server with all slots taken, or with nothing but failures, as if it were time.
+    /// @brief Weight of a plain server with all slots taken, or with nothing but failures, as if it were
+    /// time.
     double full_server_ms = 100;
     /// @brief A server that owed an answer for longer without a byte is used only if there is no other.
     duration engine_silence = milliseconds(1500);
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -5,6 +5,7 @@
 #include <parsleypitch/kernel/kernel.hpp>
 #include <parsleypitch/logging/event_log.hpp>
 #include <parsleypitch/serving/platform_adapter.hpp>
+#include <parsleypitch/serving/serving_peers.hpp>
 #include <parsleypitch/serving/serving_roles.hpp>
 
 #include <memory>
@@ -44,6 +45,7 @@
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<serving_traffic> m_traffic;
     std::shared_ptr<serving_roles> m_roles;
+    std::shared_ptr<serving_peers> m_peers;
     directory_access m_access;
     std::shared_ptr<kind_watcher> m_servers;
     std::shared_ptr<kind_watcher> m_configurations;
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -14,7 +14,7 @@
 /// @brief Owns the traffic thread with its listeners, its connections and the forwarder.
 class serving_traffic final : public service {
   public:
-    serving_traffic(serve_settings settings, backend_protocol protocol);
+    serving_traffic(serve_settings settings, incarnation born, backend_protocol protocol);
     ~serving_traffic() override;
     serving_traffic(const serving_traffic&) = delete;
     serving_traffic& operator=(const serving_traffic&) = delete;
@@ -38,6 +38,7 @@
     void adopt(std::shared_ptr<const route_table> routes);
     void adopt(std::shared_ptr<const fleet_snapshot> fleet);
     void adopt(const serve_settings& settings);
+    void add_peers(std::vector<endpoint> listed);
 
   private:
     struct state;
--- a/include/parsleypitch/settings/serve_settings.hpp
+++ b/include/parsleypitch/settings/serve_settings.hpp
@@ -15,6 +15,8 @@
     endpoint readiness;
     /// @brief Where metrics are read.
     endpoint metrics;
+    /// @brief Where other entry hosts send their reports; empty if no port is given for it.
+    endpoint peers;
     /// @brief The platform's store.
     endpoint store;
     /// @brief Time within which a lost connection to the store has to be noticed and replaced.
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -52,10 +52,12 @@
     const auto directory = std::make_shared<serving_directory>(settings.value(), adapter);
     const lease_holder self{settings.value().id, new_incarnation()};
     const std::vector<std::shared_ptr<service>> services = {
-        log, std::make_shared<metrics_registry>(),
-        std::make_shared<serving_traffic>(settings.value(), adapter.protocol),
+        log,
+        std::make_shared<metrics_registry>(),
+        std::make_shared<serving_traffic>(settings.value(), self.born, adapter.protocol),
         std::make_shared<serving_roles>(self, adapter.protocol, settings.value().holder_pause,
                                         suspend_aware_clock_hook()),
+        std::make_shared<serving_peers>(settings.value().peers),
         directory};
     for (const auto& each : services) {
         if (const auto added = host.add(each); !added) {
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -181,6 +181,23 @@
     }
 }
 
+std::vector<server_load> backend_pool::own_loads() const {
+    std::vector<server_load> loads;
+    for (const auto& [id, state] : m_states) {
+        if (state.queued_prefill_ms >= 1) {
+            loads.push_back({key_of(id), state.queued_prefill_ms});
+        }
+    }
+    return loads;
+}
+
+double backend_pool::queued_prefill_ms(const backend_state& server, double unheard_factor) const {
+    if (!m_peer_load.any()) {
+        return server.queued_prefill_ms * unheard_factor;
+    }
+    return server.queued_prefill_ms + m_peer_load.prefill_ms(key_of(server.entry.id));
+}
+
 void backend_pool::note_cache_report(const backend_server_id& id, const cache_report& report) {
     backend_state* state = find(id);
     if (state == nullptr) {
--- a/src/forwarding/cache_follower.cpp
+++ b/src/forwarding/cache_follower.cpp
@@ -29,7 +29,9 @@
         unsigned status = 0;
     };
     const auto state = std::make_shared<question>();
-    http::request message = m_shared->protocol.encode_cache_query(server->cache_next, cache_query_wait);
+    // An engine holds few questions at a time; one that it can't hold is answered at once.
+    const milliseconds wait = m_refused.contains(id) ? milliseconds(0) : cache_query_wait;
+    http::request message = m_shared->protocol.encode_cache_query(server->cache_next, wait);
     message.headers.set("Host", server->entry.address.str());
     http::call_hooks hooks;
     const auto self = shared_from_this();
@@ -41,11 +43,14 @@
         state->timeout();
         if (state->status == status_ok) {
             self->on_answer(id, state->body);
+        } else {
+            self->on_refused(id, "status " + std::to_string(state->status));
         }
         self->ask_later(id);
     };
-    hooks.failed = [self, state, id](const error&) {
+    hooks.failed = [self, state, id](const error& why) {
         state->timeout();
+        self->on_refused(id, reason_name(why.code));
         self->ask_later(id);
     };
     state->timeout = m_shared->hooks.start_timer(cache_query_wait + cache_query_allowance, [self, state, id] {
@@ -69,7 +74,16 @@
     if (report.value().gap) {
         m_shared->count("parsleypitch_cache_report_gaps_total", {});
     }
+    m_shared->count("parsleypitch_cache_queries_total", {{"result", "answered"}});
+    m_refused.erase(id);
     m_shared->pool.note_cache_report(id, report.value());
 }
 
+void cache_follower::on_refused(const backend_server_id& id, const std::string& reason) {
+    m_shared->count("parsleypitch_cache_queries_total", {{"result", reason}});
+    if (m_refused.insert(id).second) {
+        m_shared->log->warning("cache_query_failed", {{"server", id}, {"reason", reason}});
+    }
+}
+
 } // namespace parsleypitch
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -86,11 +86,24 @@
     return std::exchange(m_state->demand, {});
 }
 
+std::vector<server_load> forwarder::own_loads() const {
+    return m_state->pool.own_loads();
+}
+
+void forwarder::note_peer(const load_report& report) {
+    m_state->pool.note_peer(report, m_state->hooks.now());
+}
+
+void forwarder::expire_peers() {
+    m_state->pool.expire_peers(m_state->hooks.now());
+}
+
 void forwarder::publish_beliefs() const {
     const time_point now = m_state->hooks.now();
     const auto gauge = [this](const char* metric, metric_labels labels, double value) {
         m_state->metrics->set(metric_name(metric), labels, value);
     };
+    gauge("parsleypitch_peers", {}, static_cast<double>(m_state->pool.peers()));
     gauge("parsleypitch_open_requests", {}, static_cast<double>(m_state->requests.size()));
     if (m_state->routes) {
         gauge("parsleypitch_config_version", {}, static_cast<double>(m_state->routes->version().value()));
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -88,8 +88,9 @@
     return engine.entry.role == engine_role::decode ? idle * policy.decode_read_factor : idle;
 }
 
-double wait_ms(const backend_state& engine, const placement_policy& policy, time_point now) {
-    return engine.queued_prefill_ms * policy.queue_share_factor + engine.recent_excess_ms(now);
+double wait_ms(const backend_pool& pool, const backend_state& engine, const placement_policy& policy,
+               time_point now) {
+    return pool.queued_prefill_ms(engine, policy.queue_share_factor) + engine.recent_excess_ms(now);
 }
 
 double transfer_ms(double tokens, bool same_zone, const engine_figures& figures,
@@ -213,7 +214,7 @@
         }
         placed.prefill_ms =
             read_ms(engine, placed.cached_tokens, static_cast<double>(m_work.prompt.value()), m_policy);
-        placed.wait_ms = wait_ms(engine, m_policy, m_now);
+        placed.wait_ms = wait_ms(m_pool, engine, m_policy, m_now);
         return placed;
     }
 
@@ -295,11 +296,11 @@
                                           const placement_policy& policy, time_point now) {
     const backend_state* chosen = nullptr;
     double lowest = std::numeric_limits<double>::max();
-    for (const backend_state* each : detail::candidates(pool, service.id, constraints, policy.engine_silence,
-                                                        now, detail::answers)) {
+    for (const backend_state* each :
+         detail::candidates(pool, service.id, constraints, policy.engine_silence, now, detail::answers)) {
         const double zone_cost = each->entry.zone == prefill_zone ? 0 : policy.transfer_penalty_ms;
         const double load = policy.step_ms_per_request * each->running + each->recent_excess_ms(now) +
-                            each->queued_prefill_ms + zone_cost;
+                            pool.queued_prefill_ms(*each, 1) + zone_cost;
         if (load < lowest) {
             lowest = load;
             chosen = each;
--- /dev/null
+++ b/src/serving/peer_exchange.cpp
@@ -0,0 +1,195 @@
+#include "net/address.hpp"
+
+#include <parsleypitch/serving/peer_exchange.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <map>
+
+namespace parsleypitch {
+
+using asio::ip::udp;
+
+namespace {
+
+constexpr std::size_t report_head_size = 24; // two numbers and the marks of the arrays
+constexpr std::size_t load_size = 10;        // a key and a number of milliseconds
+
+std::optional<udp::endpoint> resolve(const endpoint& at) {
+    const net::host_and_port address = net::split(at);
+    std::error_code code;
+    const auto ip = asio::ip::make_address(address.host, code);
+    if (code) {
+        return std::nullopt;
+    }
+    return udp::endpoint(ip, static_cast<unsigned short>(address.port));
+}
+
+} // namespace
+
+std::string encode_load_report(const load_report& report) {
+    nlohmann::json loads = nlohmann::json::array();
+    std::size_t size = report_head_size;
+    for (const server_load& load : report.loads) {
+        size += load_size;
+        if (size > max_report_size) {
+            break;
+        }
+        loads.push_back(load.server.value());
+        loads.push_back(static_cast<std::uint32_t>(load.prefill_ms));
+    }
+    const nlohmann::json message = {report.born.value(), report.number.value(), std::move(loads)};
+    std::string bytes;
+    nlohmann::json::to_cbor(message, bytes);
+    return bytes;
+}
+
+result<load_report> decode_load_report(std::string_view bytes, const endpoint& from) {
+    const auto message = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const bool sound = message.is_array() && message.size() == 3 && message[0].is_number_unsigned() &&
+                       message[1].is_number_unsigned() && message[2].is_array() && message[2].size() % 2 == 0;
+    if (!sound) {
+        return fail(errc::malformed_document, "load report: expected two numbers and pairs");
+    }
+    load_report report;
+    report.from = from;
+    report.born = incarnation(message[0].get<std::uint64_t>());
+    report.number = report_number(message[1].get<std::uint64_t>());
+    const auto& loads = message[2];
+    for (std::size_t i = 0; i < loads.size(); i += 2) {
+        if (!loads[i].is_number_unsigned() || !loads[i + 1].is_number_unsigned()) {
+            return fail(errc::malformed_document, "load report: expected pairs of server and work");
+        }
+        report.loads.push_back({server_key(loads[i].get<std::uint64_t>()),
+                                static_cast<double>(loads[i + 1].get<std::uint64_t>())});
+    }
+    return report;
+}
+
+struct peer_exchange::state : std::enable_shared_from_this<peer_exchange::state> {
+    struct peer {
+        udp::endpoint address;
+        time_point heard_at;
+        time_point sent_at;
+    };
+
+    state(asio::io_context& context, incarnation started, peer_exchange_hooks h)
+        : socket(context), born(started), hooks(std::move(h)) {}
+
+    void receive();
+    void on_datagram(std::size_t bytes);
+
+    udp::socket socket;
+    incarnation born;
+    peer_exchange_hooks hooks;
+    endpoint own;
+    std::map<endpoint, peer> peers;
+    report_number last_number;
+    std::array<char, 2 * max_report_size> buffer{};
+    udp::endpoint sender;
+    bool sent_load = false;
+    bool stopped = false;
+};
+
+void peer_exchange::state::receive() {
+    socket.async_receive_from(
+        asio::buffer(buffer), sender,
+        [self_state = shared_from_this()](const std::error_code& code, std::size_t bytes) {
+            if (self_state->stopped || code == asio::error::operation_aborted) {
+                return;
+            }
+            if (!code) {
+                self_state->on_datagram(bytes);
+            }
+            self_state->receive();
+        });
+}
+
+void peer_exchange::state::on_datagram(std::size_t bytes) {
+    const endpoint from(sender.address().to_string() + ":" + std::to_string(sender.port()));
+    const auto report = decode_load_report(std::string_view(buffer.data(), bytes), from);
+    if (!report || from == own) {
+        return; // another sender's datagram, or our own
+    }
+    peer& known = peers[from];
+    known.address = sender;
+    known.heard_at = hooks.now();
+    hooks.received(report.value());
+}
+
+peer_exchange::peer_exchange(asio::io_context& context, incarnation born, peer_exchange_hooks hooks)
+    : m_state(std::make_shared<state>(context, born, std::move(hooks))) {
+}
+
+peer_exchange::~peer_exchange() {
+    stop();
+}
+
+result<void> peer_exchange::listen(const endpoint& at) {
+    const auto local = resolve(at);
+    std::error_code code = local ? std::error_code() : std::make_error_code(std::errc::invalid_argument);
+    if (!code) {
+        m_state->socket.open(local->protocol(), code);
+    }
+    if (!code) {
+        m_state->socket.bind(*local, code);
+    }
+    if (!code) {
+        m_state->socket.non_blocking(true, code);
+    }
+    if (code) {
+        return fail(errc::bind_failed, at.str() + ": " + code.message());
+    }
+    m_state->own = at;
+    m_state->receive();
+    return success();
+}
+
+void peer_exchange::add_peers(const std::vector<endpoint>& listed) {
+    for (const endpoint& each : listed) {
+        const auto address = resolve(each);
+        if (!address || each == m_state->own || m_state->peers.contains(each)) {
+            continue;
+        }
+        m_state->peers[each] = {*address, m_state->hooks.now(), time_point()};
+    }
+}
+
+void peer_exchange::send_reports() {
+    state& s = *m_state;
+    if (!s.socket.is_open() || s.peers.empty()) {
+        return;
+    }
+    const time_point now = s.hooks.now();
+    std::erase_if(s.peers,
+                  [now](const auto& each) { return now - each.second.heard_at > forget_peer_after; });
+    s.last_number = s.last_number.next();
+    std::vector<server_load> loads = s.hooks.own_loads();
+    // The first report without work tells the peers that the work is done.
+    const bool urgent = !loads.empty() || s.sent_load;
+    s.sent_load = !loads.empty();
+    const std::string bytes = encode_load_report({s.own, s.born, s.last_number, std::move(loads)});
+    for (auto& [address, peer] : s.peers) {
+        const bool silent = now - peer.heard_at > load_report_validity;
+        const duration period = silent   ? silent_peer_period
+                                : urgent ? load_report_period
+                                         : idle_report_period;
+        if (now - peer.sent_at < period) {
+            continue;
+        }
+        peer.sent_at = now;
+        std::error_code ignored; // a lost report is replaced by the next
+        s.socket.send_to(asio::buffer(bytes), peer.address, 0, ignored);
+    }
+}
+
+void peer_exchange::stop() {
+    m_state->stopped = true;
+    std::error_code ignored; // nothing is left to do with the socket
+    m_state->socket.close(ignored);
+}
+
+} // namespace parsleypitch
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -27,10 +27,12 @@
     BOOST_OUTCOME_TRY(log, host.find<event_log>(event_log_service_name()));
     BOOST_OUTCOME_TRY(traffic, host.find<serving_traffic>(serving_traffic_name()));
     BOOST_OUTCOME_TRY(roles, host.find<serving_roles>(serving_roles_name()));
+    BOOST_OUTCOME_TRY(peers, host.find<serving_peers>(serving_peers_name()));
     m_kernel = &host;
     m_log = log;
     m_traffic = traffic;
     m_roles = roles;
+    m_peers = peers;
     host.post_control([this] { open(*m_kernel); });
     host.every(settings_check_period, [this] { apply_settings("file changed", false); });
     return success();
@@ -39,6 +41,7 @@
 void serving_directory::open(kernel& host) {
     m_access = m_adapter.open_directory(host.control_context(), m_settings.store);
     m_roles->open(m_access.authority);
+    m_peers->open(m_access.host_slot(m_settings.id), m_access.hosts);
     watcher_hooks servers = hooks_for(host, servers_kind);
     servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
     servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -1,3 +1,4 @@
+#include <parsleypitch/serving/peer_exchange.hpp>
 #include <parsleypitch/serving/serving_traffic.hpp>
 
 #include <asio/executor_work_guard.hpp>
@@ -13,7 +14,7 @@
 namespace {
 
 /// Log lines wait at most this long in memory; the same tick closes idle connections to backend servers.
-constexpr milliseconds housekeeping_period{200};
+constexpr milliseconds housekeeping_period{150};
 constexpr milliseconds demand_period{1000};
 /// The balancer needs two missed questions, one a second, to take a host out. Streams that come later may not
 /// end within the grace, so they are refused; they still come if no other host of the zone is ready.
@@ -34,7 +35,8 @@
 } // namespace
 
 struct serving_traffic::state {
-    state(serve_settings s, backend_protocol p) : settings(std::move(s)), protocol(std::move(p)) {}
+    state(serve_settings s, incarnation b, backend_protocol p)
+        : settings(std::move(s)), born(b), protocol(std::move(p)) {}
 
     [[nodiscard]] forwarding_hooks make_hooks();
     void run();
@@ -46,6 +48,7 @@
     void check_drain(time_point began, const std::shared_ptr<std::promise<void>>& done);
 
     serve_settings settings;
+    incarnation born;
     backend_protocol protocol;
     std::shared_ptr<event_log> log;
     std::shared_ptr<metrics_registry> metrics;
@@ -55,6 +58,7 @@
     asio::steady_timer drain_timer{context};
     std::unique_ptr<http::client> client;
     std::unique_ptr<forwarder> requests;
+    std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> metrics_page;
@@ -110,6 +114,8 @@
             client->sweep(std::chrono::steady_clock::now());
             log->flush();
             report_demand();
+            requests->expire_peers();
+            peers->send_reports();
             housekeep();
         }
     });
@@ -173,8 +179,8 @@
     });
 }
 
-serving_traffic::serving_traffic(serve_settings settings, backend_protocol protocol)
-    : m_state(std::make_unique<state>(std::move(settings), std::move(protocol))) {
+serving_traffic::serving_traffic(serve_settings settings, incarnation born, backend_protocol protocol)
+    : m_state(std::make_unique<state>(std::move(settings), born, std::move(protocol))) {
 }
 
 serving_traffic::~serving_traffic() {
@@ -209,6 +215,14 @@
     if (!s.settings.metrics.empty()) {
         BOOST_OUTCOME_TRY(s.metrics_page->listen(s.settings.metrics));
     }
+    peer_exchange_hooks peer_hooks;
+    peer_hooks.own_loads = [&s] { return s.requests->own_loads(); };
+    peer_hooks.received = [&s](const load_report& report) { s.requests->note_peer(report); };
+    peer_hooks.now = steady_clock_hook();
+    s.peers = std::make_unique<peer_exchange>(s.context, s.born, std::move(peer_hooks));
+    if (!s.settings.peers.empty()) {
+        BOOST_OUTCOME_TRY(s.peers->listen(s.settings.peers));
+    }
     s.housekeep();
     s.thread = std::thread([&s] { s.context.run(); });
     return success();
@@ -233,6 +247,7 @@
         s->callers->stop();
         s->readiness->stop();
         s->metrics_page->stop();
+        s->peers->stop();
         s->log->flush();
         s->context.stop();
     });
@@ -262,6 +277,11 @@
     });
 }
 
+void serving_traffic::add_peers(std::vector<endpoint> listed) {
+    asio::post(m_state->context,
+               [s = m_state.get(), listed = std::move(listed)] { s->peers->add_peers(listed); });
+}
+
 retry_budget::config retry_share(const serve_settings& settings) {
     const double share = settings.retry_allowance / assumed_entry_hosts;
     retry_budget::config config;
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -7,8 +7,8 @@
 
 class backend_pool_fixture : public testing::Test {
   protected:
-    static backend_server_entry engine(const std::string& id, engine_role role, const std::string& zone = "z1",
-                                       std::uint64_t born = 1) {
+    static backend_server_entry engine(const std::string& id, engine_role role,
+                                       const std::string& zone = "z1", std::uint64_t born = 1) {
         backend_server_entry made;
         made.id = backend_server_id(id);
         made.born = incarnation(born);
@@ -145,7 +145,8 @@
 
 // Guards against shared parts that are read again although an engine keeps them.
 TEST_F(placement_fixture, shared_parts_are_fetched_from_the_engine_that_keeps_them) {
-    m_pool.note_cache_report(backend_server_id("p2"), report(1, {{prompt_part_id("s"), token_count(13'000)}}));
+    m_pool.note_cache_report(backend_server_id("p2"),
+                             report(1, {{prompt_part_id("s"), token_count(13'000)}}));
     m_pool.note_sent(backend_server_id("p2"), 3000, m_now); // busy
     const auto plan = place(work(13'000, 4'000));
     ASSERT_TRUE(plan && plan->prefill);
@@ -156,7 +157,8 @@
 
 // Guards against a cache that is left alone although its engine has time.
 TEST_F(placement_fixture, engine_that_keeps_the_shared_parts_is_preferred) {
-    m_pool.note_cache_report(backend_server_id("p2"), report(1, {{prompt_part_id("s"), token_count(13'000)}}));
+    m_pool.note_cache_report(backend_server_id("p2"),
+                             report(1, {{prompt_part_id("s"), token_count(13'000)}}));
     const auto plan = place(work(13'000, 4'000));
     ASSERT_TRUE(plan && plan->prefill);
     EXPECT_EQ(plan->prefill->id, backend_server_id("p2"));
--- /dev/null
+++ b/tests/unit-peer-exchange.cpp
@@ -0,0 +1,189 @@
+#include <parsleypitch/serving/peer_exchange.hpp>
+#include <parsleypitch/serving/serving_peers.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace parsleypitch {
+
+class peer_load_fixture : public testing::Test {
+  protected:
+    static load_report report(const std::string& from, std::uint64_t number, double on_a,
+                              std::uint64_t born = 1) {
+        load_report made;
+        made.from = endpoint(from);
+        made.born = incarnation(born);
+        made.number = report_number(number);
+        if (on_a > 0) {
+            made.loads = {{key_of(backend_server_id("a")), on_a}};
+        }
+        return made;
+    }
+    [[nodiscard]] double on_a() const { return m_load.prefill_ms(key_of(backend_server_id("a"))); }
+
+    peer_load m_load;
+    time_point m_now{seconds(1000)};
+};
+
+// Guards against work that is counted twice or never taken back.
+TEST_F(peer_load_fixture, sum_follows_the_newest_report_of_each_host) {
+    m_load.note(report("h1:1", 1, 100), m_now);
+    m_load.note(report("h2:1", 1, 50), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 150);
+    m_load.note(report("h1:1", 2, 30), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 80);
+    m_load.note(report("h1:1", 3, 0), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 50);
+}
+
+// Guards against datagrams that overtake each other.
+TEST_F(peer_load_fixture, older_report_changes_nothing_and_a_restart_counts_anew) {
+    m_load.note(report("h1:1", 5, 100), m_now);
+    m_load.note(report("h1:1", 4, 900), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 100);
+    m_load.note(report("h1:1", 1, 20, 2), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 20);
+    m_load.note(report("h1:1", 9, 900, 1), m_now);
+    EXPECT_DOUBLE_EQ(on_a(), 20);
+}
+
+// Guards against work of hosts that are gone.
+TEST_F(peer_load_fixture, silent_host_is_forgotten) {
+    m_load.note(report("h1:1", 1, 100), m_now);
+    m_load.note(report("h2:1", 1, 50), m_now + milliseconds(500));
+    m_load.expire(m_now + load_report_validity + milliseconds(1));
+    EXPECT_DOUBLE_EQ(on_a(), 50);
+    EXPECT_TRUE(m_load.any());
+    m_load.expire(m_now + seconds(5));
+    EXPECT_FALSE(m_load.any());
+    EXPECT_DOUBLE_EQ(on_a(), 0);
+}
+
+class load_report_codec_fixture : public testing::Test {};
+
+// Guards against reports that are read as something else, and against datagrams that are split on the way.
+TEST_F(load_report_codec_fixture, decode_gives_back_what_was_encoded_within_a_datagram) {
+    load_report report;
+    report.born = incarnation(1'796'370'889'183'234);
+    report.number = report_number(77);
+    for (int i = 0; i < 500; ++i) {
+        report.loads.push_back({key_of(backend_server_id("e" + std::to_string(i))), i * 10.0});
+    }
+    const std::string bytes = encode_load_report(report);
+    EXPECT_LE(bytes.size(), max_report_size);
+    const auto decoded = decode_load_report(bytes, endpoint("10.0.0.1:7381"));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded.value().from, endpoint("10.0.0.1:7381"));
+    EXPECT_EQ(decoded.value().born, report.born);
+    EXPECT_EQ(decoded.value().number, report.number);
+    ASSERT_GT(decoded.value().loads.size(), 100U);
+    EXPECT_EQ(decoded.value().loads[9].server, report.loads[9].server);
+    EXPECT_DOUBLE_EQ(decoded.value().loads[9].prefill_ms, 90);
+}
+
+// Guards against crashes on datagrams of anybody.
+RC_GTEST_FIXTURE_PROP(load_report_codec_fixture, decode_of_any_bytes_returns, (const std::string& bytes)) {
+    (void)decode_load_report(bytes, endpoint("10.0.0.1:1"));
+}
+
+/// Two hosts on one event loop.
+class peer_exchange_fixture : public testing::Test {
+  protected:
+    struct host {
+        endpoint address;
+        std::vector<server_load> loads;
+        std::vector<load_report> received;
+        std::unique_ptr<peer_exchange> exchange;
+    };
+
+    std::unique_ptr<host> make_host() {
+        auto made = std::make_unique<host>();
+        asio::ip::udp::socket probe(m_context, {asio::ip::make_address("127.0.0.1"), 0});
+        made->address = endpoint("127.0.0.1:" + std::to_string(probe.local_endpoint().port()));
+        probe.close();
+        peer_exchange_hooks hooks;
+        hooks.own_loads = [raw = made.get()] { return raw->loads; };
+        hooks.received = [raw = made.get()](const load_report& report) { raw->received.push_back(report); };
+        hooks.now = [this] { return m_now; };
+        made->exchange = std::make_unique<peer_exchange>(m_context, incarnation(1), std::move(hooks));
+        EXPECT_TRUE(made->exchange->listen(made->address));
+        return made;
+    }
+    void run() {
+        m_context.restart();
+        m_context.run_for(milliseconds(30));
+    }
+
+    asio::io_context m_context;
+    time_point m_now{seconds(1000)};
+};
+
+// Guards against hosts that start together and of which one never hears of the other.
+TEST_F(peer_exchange_fixture, host_that_is_not_listed_learns_of_the_sender) {
+    const auto first = make_host();
+    const auto second = make_host();
+    first->exchange->add_peers({first->address, second->address});
+    first->loads = {{key_of(backend_server_id("a")), 40}};
+    first->exchange->send_reports();
+    run();
+    ASSERT_EQ(second->received.size(), 1U);
+    EXPECT_EQ(second->received[0].from, first->address);
+    EXPECT_EQ(second->received[0].loads.size(), 1U);
+    second->exchange->send_reports();
+    run();
+    EXPECT_EQ(first->received.size(), 1U);
+}
+
+// Guards against reports without pause, and against work that is never taken back.
+TEST_F(peer_exchange_fixture, reports_are_spaced_and_the_end_of_work_is_told) {
+    const auto first = make_host();
+    const auto second = make_host();
+    first->exchange->add_peers({second->address});
+    first->loads = {{key_of(backend_server_id("a")), 40}};
+    first->exchange->send_reports();
+    first->exchange->send_reports();
+    m_now += load_report_period;
+    first->loads.clear();
+    first->exchange->send_reports();
+    m_now += load_report_period;
+    first->exchange->send_reports(); // idle: not due yet
+    run();
+    ASSERT_EQ(second->received.size(), 2U);
+    EXPECT_TRUE(second->received[1].loads.empty());
+}
+
+// Guards against a stream of reports to hosts that are gone.
+TEST_F(peer_exchange_fixture, silent_peer_gets_few_reports_and_is_forgotten) {
+    const auto first = make_host();
+    const auto second = make_host();
+    first->exchange->add_peers({second->address});
+    first->loads = {{key_of(backend_server_id("a")), 40}};
+    for (int i = 0; i < 200; ++i) {
+        first->exchange->send_reports();
+        m_now += load_report_period;
+    }
+    run();
+    EXPECT_LT(second->received.size(), 20U);
+    EXPECT_GT(second->received.size(), 5U);
+    m_now += forget_peer_after;
+    first->exchange->send_reports();
+    second->received.clear();
+    m_now += seconds(10);
+    first->exchange->send_reports();
+    run();
+    EXPECT_TRUE(second->received.empty());
+}
+
+class host_codec_fixture : public testing::Test {};
+
+// Guards against entries of other writers in the list of hosts.
+TEST_F(host_codec_fixture, decode_host_accepts_only_what_encode_host_writes) {
+    EXPECT_EQ(decode_host(encode_host(endpoint("10.0.0.1:7381"))), endpoint("10.0.0.1:7381"));
+    EXPECT_EQ(decode_host("{}"), std::nullopt);
+    EXPECT_EQ(decode_host(R"({"reports":7})"), std::nullopt);
+    EXPECT_EQ(decode_host("\xff"), std::nullopt);
+}
+
+} // namespace parsleypitch
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -282,6 +282,7 @@
     EXPECT_EQ(settings.value().callers, endpoint("10.1.0.38:1"));
     EXPECT_EQ(settings.value().readiness, endpoint("10.1.0.38:2"));
     EXPECT_EQ(settings.value().metrics, endpoint("10.1.0.38:7380"));
+    EXPECT_EQ(settings.value().peers, endpoint("10.1.0.38:7381"));
     EXPECT_EQ(settings.value().store, endpoint("10.200.1.7:8142"));
     EXPECT_DOUBLE_EQ(settings.value().retry_ratio, 0.3);
     EXPECT_EQ(settings.value().stop_grace, seconds(8));
--- a/tests/unit-serving-roles.cpp
+++ b/tests/unit-serving-roles.cpp
@@ -119,17 +119,22 @@
         backend_protocol protocol;
         protocol.encode_order = [](const role_order& order) {
             return http::request{
-                "POST", "/", {{"holder", order.holder.str()}, {"term", std::to_string(order.term.value())}}, "", true};
+                "POST",
+                "/",
+                {{"holder", order.holder.str()}, {"term", std::to_string(order.term.value())}},
+                "",
+                true};
         };
         protocol.decode_order_answer = [](const http::response_head&) { return order_answer::accepted; };
-        host.roles = std::make_shared<serving_roles>(lease_holder{entry_host_id(name), incarnation(1)}, protocol,
-                                                     milliseconds(3000), [this] { return now(); });
+        host.roles = std::make_shared<serving_roles>(lease_holder{entry_host_id(name), incarnation(1)},
+                                                     protocol, milliseconds(3000), [this] { return now(); });
         serve_settings settings;
         ASSERT_TRUE(host.process->add(std::make_shared<event_log>(event_log_options{.descriptor = -1})));
         ASSERT_TRUE(host.process->add(std::make_shared<metrics_registry>()));
         settings.callers = endpoint("127.0.0.1:0");
         settings.readiness = endpoint("127.0.0.1:0");
-        ASSERT_TRUE(host.process->add(std::make_shared<serving_traffic>(settings, backend_protocol{})));
+        ASSERT_TRUE(host.process->add(
+            std::make_shared<serving_traffic>(settings, incarnation(1), backend_protocol{})));
         ASSERT_TRUE(host.process->add(host.roles));
         ASSERT_TRUE(host.process->start());
         host.process->post_control(
@@ -147,7 +152,8 @@
             engine.role = i < prefill ? engine_role::prefill : engine_role::decode;
             engines.push_back(engine);
         }
-        m_hosts[name].process->post_control([roles = m_hosts[name].roles, engines] { roles->observe(engines); });
+        m_hosts[name].process->post_control(
+            [roles = m_hosts[name].roles, engines] { roles->observe(engines); });
     }
     /// Lets simulated time pass in steps, with real time for the threads to act.
     void pass(milliseconds time) {
@@ -157,6 +163,15 @@
             std::this_thread::sleep_for(milliseconds(300)); // longer than the period of the checks
         }
     }
+    /// Lets time pass until so many orders were received; the checks of the hosts run in real time, so that
+    /// on a busy machine more simulated time passes between them.
+    void pass_until_orders(std::size_t count) {
+        constexpr milliseconds longest{60'000};
+        for (milliseconds passed{0}; passed < longest && orders().size() < count;
+             passed += milliseconds(500)) {
+            pass(milliseconds(500));
+        }
+    }
     std::vector<received_order> orders() {
         const std::lock_guard lock(m_mutex);
         return m_orders;
@@ -180,7 +195,7 @@
     pass(milliseconds(1000));
     show_engines("a", 4, 0, 1);
     show_engines("b", 4, 0, 1);
-    pass(milliseconds(2000));
+    pass_until_orders(2);
     const auto given = orders();
     ASSERT_EQ(given.size(), 2U);
     for (const received_order& order : given) {
@@ -194,7 +209,7 @@
     start_host("a");
     pass(milliseconds(1000));
     show_engines("a", 4, 0, 1);
-    pass(milliseconds(2000));
+    pass_until_orders(2);
     const auto before = orders();
     ASSERT_EQ(before.size(), 2U);
     m_hosts["a"].process->stop();
@@ -203,7 +218,7 @@
     show_engines("b", 4, 0, 2);
     pass(milliseconds(6000));
     EXPECT_EQ(orders().size(), 2U);
-    pass(milliseconds(7000));
+    pass_until_orders(4);
     const auto after = orders();
     ASSERT_EQ(after.size(), 4U);
     EXPECT_EQ(after.back().holder, "b");
@@ -230,7 +245,7 @@
     show_engines("a", 4, 0, 1);
     pass(milliseconds(2500));
     EXPECT_TRUE(orders().empty());
-    pass(milliseconds(5000));
+    pass_until_orders(2);
     const auto given = orders();
     ASSERT_EQ(given.size(), 2U);
     EXPECT_EQ(given.front().term, 2U);
