Split the request's state machine by topic and parse arguments in one place

Change: choice, events and ends in files of their own; run_with_options for all commands that run a process. No change of behaviour. The cases of the forwarder pass.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,12 +1,11 @@
 #include "cli/commands.hpp"
 
+#include "cli/command_line.hpp"
 #include "cli/config_command.hpp"
 #include "cli/report_command.hpp"
 #include "cli/role_commands.hpp"
 #include "cli/status_command.hpp"
 
-#include <cxxopts.hpp>
-
 #include <iostream>
 
 namespace parsleypitch::cli {
@@ -19,26 +18,14 @@
     return {name, summary, [name, summary, run = std::move(run)](const std::vector<std::string>& arguments) {
                 cxxopts::Options options("parsleypitch " + name, summary);
                 options.add_options()("settings", "settings file in TOML", cxxopts::value<std::string>(),
-                                      "FILE")("h,help", "print this help");
-                std::vector<const char*> argv = {"parsleypitch"};
-                for (const std::string& argument : arguments) {
-                    argv.push_back(argument.c_str());
-                }
-                try {
-                    const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
-                    if (parsed.count("help") > 0) {
-                        std::cout << options.help();
-                        return exit_success;
-                    }
+                                      "FILE");
+                return run_with_options(name, options, arguments, [&name, &run](const auto& parsed) {
                     if (parsed.count("settings") == 0) {
                         std::cerr << "parsleypitch " << name << ": the option --settings FILE is required\n";
                         return exit_usage;
                     }
-                    return run(parsed["settings"].as<std::string>());
-                } catch (const cxxopts::exceptions::exception& problem) {
-                    std::cerr << "parsleypitch " << name << ": " << problem.what() << '\n';
-                    return exit_usage;
-                }
+                    return run(parsed["settings"].template as<std::string>());
+                });
             }};
 }
 
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -1,5 +1,6 @@
 #include "cli/serve_command.hpp"
 
+#include "cli/command_line.hpp"
 #include "cli/process.hpp"
 #include "cli/role_commands.hpp"
 
@@ -8,10 +9,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
-#include <cxxopts.hpp>
 
 #include <csignal>
-#include <iostream>
 
 namespace parsleypitch::cli {
 
@@ -85,23 +84,9 @@
     const std::string summary = "run an entry host on the platform";
     return {"serve", summary,
             [summary, adapter = std::move(adapter)](const std::vector<std::string>& arguments) {
-                cxxopts::Options options("parsleypitch serve", summary);
-                options.add_options()("h,help", "print this help");
-                std::vector<const char*> argv = {"parsleypitch"};
-                for (const std::string& argument : arguments) {
-                    argv.push_back(argument.c_str());
-                }
-                try {
-                    const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
-                    if (parsed.count("help") > 0) {
-                        std::cout << options.help();
-                        return exit_success;
-                    }
-                } catch (const cxxopts::exceptions::exception& problem) {
-                    std::cerr << "parsleypitch serve: " << problem.what() << '\n';
-                    return exit_usage;
-                }
-                return serve(adapter);
+                const cxxopts::Options options("parsleypitch serve", summary);
+                return run_with_options("serve", options, arguments,
+                                        [&adapter](const cxxopts::ParseResult&) { return serve(adapter); });
             }};
 }
 
--- /dev/null
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -0,0 +1,177 @@
+#include "forwarding/answer_status.hpp"
+#include "forwarding/forwarded_request.hpp"
+
+#include <algorithm>
+
+// Ends of attempts and of the request.
+
+namespace parsleypitch {
+
+void forwarded_request::settle(std::optional<attempt_result> result) {
+    if (m_patience_timer) {
+        m_patience_timer();
+        m_patience_timer = nullptr;
+    }
+    const attempt ended = std::move(*m_attempt);
+    m_attempt.reset();
+    m_events = event_splitter();
+    ++m_sends;
+    m_tried.push_back(ended.server.id);
+    m_shared->pool.note_prefilled(ended.server.id, ended.server.prefill_ms);
+    m_shared->pool.note_ended(ended.server.id, result, now());
+    const std::string outcome = result ? std::string(to_string(*result)) : "cancelled";
+    m_shared->count("parsleypitch_attempts_total", {{"result", outcome}});
+    if (!result || *result != attempt_result::answered) {
+        m_shared->log->warning("attempt_ended",
+                               {{"request", m_call.id},
+                                {"server", ended.server.id},
+                                {"stage", detail::stage_name(ended.stage, ended.source.has_value())},
+                                {"result", outcome},
+                                {"status", ended.head.status},
+                                {"after_ms", now() - ended.started}});
+    }
+    if (ended.source && result == attempt_result::answered) {
+        m_source.reset(); // taken
+    }
+}
+
+void forwarded_request::after_failure(const error& why, run_state attempt_ran) {
+    release_source();
+    if (attempt_ran != run_state::not_run) {
+        m_ran = attempt_ran;
+    }
+    m_prefill_failed = true;
+    retry_policy_config config;
+    config.max_attempts = m_route->max_attempts;
+    config.base_delay = duration::zero();
+    const retry_policy policy(config, m_shared->hooks.random);
+    const failed_attempt failure{why.code, attempt_ran, may_repeat(), attempt_number(m_sends), m_deadline};
+    const retry_decision decision = policy.decide(failure, m_shared->budget_of(m_service->id), now());
+    m_shared->count("parsleypitch_retry_decisions_total",
+                    {{"reason", std::string(to_string(decision.reason))}});
+    m_shared->log->info("retry_decision", {{"request", m_call.id},
+                                           {"decision", to_string(decision.reason)},
+                                           {"failure", reason_name(why.code)},
+                                           {"ran", to_string(attempt_ran)},
+                                           {"sends", m_sends},
+                                           {"max_attempts", m_route->max_attempts},
+                                           {"budget", m_shared->budget_of(m_service->id).available()}});
+    if (decision.retry()) {
+        send_next();
+        return;
+    }
+    if (m_stream_begun) {
+        m_exchange->abort();
+        finish("stream_aborted", 0, reason_name(why.code));
+        return;
+    }
+    if (m_server_failure && m_ran != run_state::not_run) {
+        deliver(std::move(*m_server_failure));
+        return;
+    }
+    refuse(why, m_shared->policy.come_back);
+}
+
+void forwarded_request::deliver(http::response answer) {
+    m_ran = run_state::ran;
+    http::remove_hop_by_hop(answer.head.headers, {});
+    const unsigned status = answer.head.status;
+    m_exchange->respond(std::move(answer));
+    finish(detail::is_success(status) ? "answered" : "server_failure", status, "");
+}
+
+void forwarded_request::refuse(const error& why, duration come_back) {
+    if (m_stream_begun) {
+        m_exchange->abort();
+        finish("stream_aborted", 0, reason_name(why.code));
+        return;
+    }
+    http::response answer = refusal_response(m_call.id, why, m_ran, come_back);
+    if (!m_call.id.empty()) {
+        m_shared->protocol.mark_answer(m_call.id, answer.head);
+    }
+    const unsigned status = answer.head.status;
+    m_shared->count("parsleypitch_refusals_total", {{"reason", reason_name(why.code)}});
+    m_exchange->respond(std::move(answer));
+    finish(m_ran == run_state::not_run ? "refused" : "failed", status, reason_name(why.code));
+}
+
+void forwarded_request::on_deadline() {
+    give_up(fail(errc::deadline_exceeded, "no answer within the time of the request"));
+}
+
+void forwarded_request::give_up(const error& why) {
+    if (m_finished) {
+        return;
+    }
+    if (m_attempt) {
+        // A prefill does not run the request, a send of the whole request may have.
+        if (m_attempt->sent && m_attempt->stage == attempt_stage::whole) {
+            m_ran = m_ran == run_state::ran ? run_state::ran : run_state::outcome_unknown;
+        }
+        const bool silent = !m_attempt->heard && why.code == errc::deadline_exceeded;
+        m_attempt->call.cancel();
+        settle(silent ? std::optional(attempt_result::silent) : std::nullopt);
+    }
+    release_source();
+    refuse(why, m_shared->policy.come_back);
+}
+
+void forwarded_request::on_caller_gone() {
+    if (m_finished) {
+        return;
+    }
+    if (m_attempt) {
+        m_attempt->call.cancel();
+        settle(std::nullopt);
+    }
+    release_source();
+    finish("caller_gone", 0, "");
+}
+
+void forwarded_request::release_source() {
+    if (!m_source) {
+        return;
+    }
+    const kv_source source = *std::exchange(m_source, std::nullopt);
+    http::request message = m_shared->protocol.encode_release(source.handle);
+    message.headers.set("Host", source.engine.str());
+    http::call_hooks hooks;
+    hooks.belongs = [](const http::response_head&) { return true; };
+    hooks.head = [](const http::response_head&) {};
+    hooks.body = [](const std::string&) {};
+    hooks.end = [] {};
+    hooks.failed = [log = m_shared->log, id = m_call.id](const error& why) {
+        log->warning("kv_release_failed", {{"request", id}, {"reason", why.detail}});
+    };
+    (void)m_shared->hooks.start_call(source.engine, http::serialize(message), {}, std::move(hooks));
+}
+
+void forwarded_request::finish(std::string_view outcome, unsigned status, std::string_view reason) {
+    m_finished = true;
+    if (m_deadline_timer) {
+        m_deadline_timer();
+    }
+    if (m_patience_timer) {
+        m_patience_timer();
+    }
+    const std::string route_name = m_route == nullptr ? "" : m_route->id.str();
+    m_shared->log->info("request", {{"request", m_call.id},
+                                    {"route", route_name},
+                                    {"outcome", outcome},
+                                    {"status", status},
+                                    {"reason", reason},
+                                    {"ran", to_string(m_ran)},
+                                    {"sends", m_sends},
+                                    {"events", m_event_count},
+                                    {"first_event_ms", m_first_event_after.value_or(duration::zero())},
+                                    {"took_ms", elapsed()},
+                                    {"config_version", m_routes ? m_routes->version() : config_version()}});
+    m_shared->count("parsleypitch_requests_total",
+                    {{"outcome", std::string(outcome)}, {"route", route_name}});
+    m_shared->metrics->record(metric_name("parsleypitch_request_seconds"), {{"route", route_name}},
+                              elapsed());
+    m_shared->requests.erase(shared_from_this());
+}
+
+} // namespace parsleypitch
