--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	clang-format --dry-run --Werror $(CPP_FILES)
 
 lint: build
-	printf '%s\n' $(TIDY_FILES) | xargs -P $(JOBS) -n 1 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+	JOBS=$(JOBS) .ci/lint $(BUILD) $(TIDY_FILES)
 
 # Regenerates the committed protobuf code after a change of proto/parsleypitch.proto.
 proto: deps
--- a/include/parsleypitch/fleet/role_balance.hpp
+++ b/include/parsleypitch/fleet/role_balance.hpp
@@ -57,7 +57,7 @@
     [[nodiscard]] std::size_t count(engine_role role) const;
 
     struct ordered {
-        engine_role to;
+        engine_role to = engine_role::mixed;
         time_point at;
     };
 
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -208,7 +208,7 @@
         return own;
     };
     hooks.head = [self](const http::response_head& head) { self->on_head(head); };
-    hooks.body = [self](std::string part) { self->on_body(std::move(part)); };
+    hooks.body = [self](const std::string& part) { self->on_body(part); };
     hooks.end = [self] { self->on_end(); };
     hooks.failed = [self](const error& why) { self->on_failed(why); };
     return hooks;
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -48,7 +48,7 @@
 
     // Events of the current attempt
     void on_head(const http::response_head& head);
-    void on_body(std::string part);
+    void on_body(const std::string& part);
     void on_end();
     void on_failed(const error& why);
     void on_silence();
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -19,7 +19,7 @@
     }
 }
 
-void forwarded_request::on_body(std::string part) {
+void forwarded_request::on_body(const std::string& part) {
     m_shared->pool.note_heard(m_attempt->server.id, now());
     const bool forward_events =
         m_attempt->stage == attempt_stage::whole && streams() && detail::is_success(m_attempt->head.status);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -100,7 +100,7 @@
 
 void forwarder::publish_beliefs() const {
     const time_point now = m_state->hooks.now();
-    const auto gauge = [this](const char* metric, metric_labels labels, double value) {
+    const auto gauge = [this](const char* metric, const metric_labels& labels, double value) {
         m_state->metrics->set(metric_name(metric), labels, value);
     };
     gauge("parsleypitch_peers", {}, static_cast<double>(m_state->pool.peers()));
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -27,7 +27,7 @@
     [[nodiscard]] retry_budget& budget_of(const backend_service_id& service) {
         return budgets.try_emplace(service, policy.retry).first->second;
     }
-    void count(const char* metric, metric_labels labels) const {
+    void count(const char* metric, const metric_labels& labels) const {
         metrics->count(metric_name(metric), labels);
     }
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -74,7 +74,7 @@
         }
     }
 
-    void send(std::string bytes);
+    void send(const std::string& bytes);
     /// Ends the current exchange; the connection goes on with the next request or closes.
     void finish(bool keep);
     [[nodiscard]] bool keeps_alive() const { return m_keep_alive && !m_owner->draining; }
@@ -242,7 +242,7 @@
     m_owner->handler(m_exchange);
 }
 
-void server_connection::send(std::string bytes) {
+void server_connection::send(const std::string& bytes) {
     if (m_phase == phase::closed) {
         return;
     }
