Divide retries and connections among the entry hosts that are known

Cause: reading the code again: each host took an eighth of the deployment's retry allowance, also where 21 or 26 hosts serve (up to three times the allowance together), and a fixed 15 connections to each server, whatever the server accepts. Ruled out: a larger fixed number (it would starve small deployments). Change: both are divided by the hosts that were listed or heard of in the last minute, at least eight; budgets in use are adjusted. Tests: set_retry_changes_budgets_that_are_in_use and connections_of_a_server_are _divided_among_the_entry_hosts.

--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -19,6 +19,11 @@
 
 class cache_follower;
 
+/// @brief Entry hosts among which retries and connections are divided while fewer are known.
+inline constexpr std::size_t assumed_entry_hosts = 8;
+/// @brief Connections to one server that a host may always open.
+inline constexpr std::size_t least_connections = 3;
+
 /// @brief Cancels a timer; after it the timer's function does not run.
 using timer_cancel = std::function<void()>;
 
@@ -74,8 +79,10 @@
     /// @brief Adopts a configuration unless it is older than the one in force.
     void adopt(std::shared_ptr<const route_table> routes);
     void adopt(std::shared_ptr<const fleet_snapshot> fleet);
-    /// @brief Changes the retry budget of services whose budget was not used yet.
+    /// @brief Changes the retry budgets of this host.
     void set_retry(retry_budget::config retry);
+    /// @brief Sets among how many entry hosts the connections that a server accepts are divided.
+    void set_entry_hosts(std::size_t hosts);
 
     /// @brief Takes a request; the answer goes to its exchange.
     void handle(const std::shared_ptr<http::exchange>& exchange);
--- a/include/parsleypitch/http/client.hpp
+++ b/include/parsleypitch/http/client.hpp
@@ -24,8 +24,6 @@
     duration idle_timeout = milliseconds(4000);
     /// @brief An idle connection is given up this long before the server closes it.
     duration idle_margin = milliseconds(700);
-    /// @brief Open connections to one endpoint, idle ones included.
-    std::size_t connections_per_endpoint = 15;
 };
 
 /// @brief What happened to a call, in order: at most one `head`, `body` parts, then `end` or `failed`.
@@ -46,6 +44,8 @@
     /// @brief Uses only connections that were in use this recently; zero opens a new one.
     duration freshest_idle = duration::max();
     bool to_head = false;
+    /// @brief Open connections to the endpoint, idle ones included, above which no other is opened.
+    std::size_t connections = 15;
 };
 
 /// @brief A call under way. Dropping the handle does not end it.
@@ -82,8 +82,6 @@
     /// @brief Starts a call. `failed` is called with `backend_overloaded` if the endpoint has no connection
     /// free.
     call_handle start(const endpoint& to, std::string bytes, call_options options, call_hooks hooks);
-    /// @brief Whether a call to this endpoint could start now.
-    [[nodiscard]] bool has_room(const endpoint& to) const;
     /// @brief Connections opened so far.
     [[nodiscard]] std::uint64_t opened() const;
     /// @brief Closes the idle connections to an endpoint.
--- a/include/parsleypitch/retry/retry.hpp
+++ b/include/parsleypitch/retry/retry.hpp
@@ -6,6 +6,7 @@
 #include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 
@@ -56,6 +57,11 @@
     /// @return false if the budget is exhausted
     [[nodiscard]] bool take(time_point now);
     [[nodiscard]] double available() const noexcept { return m_tokens; }
+    /// @brief Changes the rules; retries that were saved up above the new burst are lost.
+    void adjust(config c) {
+        m_config = c;
+        m_tokens = std::min(m_tokens, c.burst);
+    }
 
   private:
     void refill(time_point now);
--- a/include/parsleypitch/serving/peer_exchange.hpp
+++ b/include/parsleypitch/serving/peer_exchange.hpp
@@ -60,6 +60,8 @@
     [[nodiscard]] result<void> listen(const endpoint& at);
     /// @brief Adds hosts that the store lists.
     void add_peers(const std::vector<endpoint>& listed);
+    /// @brief Hosts that were listed or heard of within `forget_peer_after`, also if they are silent now.
+    [[nodiscard]] std::size_t known() const;
     /// @brief Sends the reports that are due.
     void send_reports();
     void stop();
--- a/include/parsleypitch/serving/serving_roles.hpp
+++ b/include/parsleypitch/serving/serving_roles.hpp
@@ -22,7 +22,8 @@
 /// state belongs to the control thread.
 class serving_roles final : public service, public std::enable_shared_from_this<serving_roles> {
   public:
-    /// @param slot the lease in the store
+    /// @param holder_pause least time between orders of two holders
+    /// @param clock counts the time in which the machine was suspended
     serving_roles(lease_holder self, backend_protocol protocol, duration holder_pause, clock_hook clock);
 
     [[nodiscard]] service_name name() const override;
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -8,9 +8,6 @@
 
 namespace parsleypitch {
 
-/// @brief Most entry hosts among which the retries and connections that a deployment allows are divided.
-inline constexpr unsigned assumed_entry_hosts = 8;
-
 /// @brief Owns the traffic thread with its listeners, its connections and the forwarder.
 class serving_traffic final : public service {
   public:
@@ -46,7 +43,7 @@
 };
 
 /// @brief Retry budget of one entry host and service out of that of the deployment.
-[[nodiscard]] retry_budget::config retry_share(const serve_settings& settings);
+[[nodiscard]] retry_budget::config retry_share(const serve_settings& settings, std::size_t entry_hosts);
 
 /// @brief Name under which the service is found in the kernel.
 [[nodiscard]] service_name serving_traffic_name();
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -176,6 +176,7 @@
                                     {"config_version", m_routes->version()}});
     http::call_options options;
     options.freshest_idle = may_repeat() ? duration::max() : m_shared->policy.at_most_once_idle;
+    options.connections = m_shared->connection_share(*m_service);
     options.to_head = m_call.message.method == "HEAD";
     const std::string bytes = http::serialize(m_shared->protocol.encode_attempt(m_call, spec));
     const endpoint address = next.server.address;
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -37,6 +37,13 @@
 
 void forwarder::set_retry(retry_budget::config retry) {
     m_state->policy.retry = retry;
+    for (auto& [service, budget] : m_state->budgets) {
+        budget.adjust(retry);
+    }
+}
+
+void forwarder::set_entry_hosts(std::size_t hosts) {
+    m_state->entry_hosts = hosts;
 }
 
 void forwarder::handle(const std::shared_ptr<http::exchange>& exchange) {
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -21,12 +21,17 @@
     std::map<backend_service_id, retry_budget> budgets;
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
     std::map<backend_service_id, token_totals> demand;
+    std::size_t entry_hosts = assumed_entry_hosts;
     bool closed = false;
     bool streams_closed = false;
 
     [[nodiscard]] retry_budget& budget_of(const backend_service_id& service) {
         return budgets.try_emplace(service, policy.retry).first->second;
     }
+    /// This host's part of the connections that one server of a service accepts.
+    [[nodiscard]] std::size_t connection_share(const backend_service& service) const {
+        return std::max(least_connections, static_cast<std::size_t>(service.max_connections) / entry_hosts);
+    }
     void count(const char* metric, const metric_labels& labels) const {
         metrics->count(metric_name(metric), labels);
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -333,11 +333,11 @@
         connection->call(std::move(bytes), options.to_head, std::move(hooks));
         return call_handle([connection] { connection->cancel(); });
     }
-    if (pool.open >= m_state->limits.connections_per_endpoint && !pool.idle.empty()) {
+    if (pool.open >= options.connections && !pool.idle.empty()) {
         const auto oldest = pool.idle.front();
         oldest->close();
     }
-    if (pool.open >= m_state->limits.connections_per_endpoint) {
+    if (pool.open >= options.connections) {
         auto alive = std::make_shared<bool>(true);
         asio::post(*m_state->context, [alive, to, failed = std::move(hooks.failed)] {
             if (*alive) {
@@ -353,12 +353,6 @@
     return call_handle([connection] { connection->cancel(); });
 }
 
-bool client::has_room(const endpoint& to) const {
-    const auto found = m_state->pools.find(to);
-    return found == m_state->pools.end() || !found->second.idle.empty() ||
-           found->second.open < m_state->limits.connections_per_endpoint;
-}
-
 std::uint64_t client::opened() const {
     return m_state->opened;
 }
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -158,6 +158,10 @@
     }
 }
 
+std::size_t peer_exchange::known() const {
+    return m_state->peers.size();
+}
+
 void peer_exchange::send_reports() {
     state& s = *m_state;
     if (!s.socket.is_open() || s.peers.empty()) {
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -42,6 +42,8 @@
     void run();
     void housekeep();
     void report_demand();
+    /// Divides what the deployment allows among this many hosts.
+    void share_among(std::size_t hosts);
     void apply_limits();
     void answer_readiness(const std::shared_ptr<http::exchange>& exchange) const;
     void answer_metrics(const std::shared_ptr<http::exchange>& exchange) const;
@@ -63,6 +65,7 @@
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> metrics_page;
     bool draining = false;
+    std::size_t entry_hosts = assumed_entry_hosts;
     kernel* host = nullptr;
     demand_hook demand_receiver;
     time_point demand_since = std::chrono::steady_clock::now();
@@ -116,11 +119,21 @@
             report_demand();
             requests->expire_peers();
             peers->send_reports();
+            if (const auto hosts = std::max(assumed_entry_hosts, peers->known() + 1); hosts != entry_hosts) {
+                share_among(hosts);
+            }
             housekeep();
         }
     });
 }
 
+void serving_traffic::state::share_among(std::size_t hosts) {
+    entry_hosts = hosts;
+    requests->set_retry(retry_share(settings, hosts));
+    requests->set_entry_hosts(hosts);
+    log->info("shares_changed", {{"entry_hosts", std::uint64_t{hosts}}});
+}
+
 void serving_traffic::state::report_demand() {
     const time_point now = std::chrono::steady_clock::now();
     const duration period = now - demand_since;
@@ -200,7 +213,7 @@
     s.metrics = metrics;
     s.client = std::make_unique<http::client>(s.context, http::client_limits{});
     forwarding_policy policy;
-    policy.retry = retry_share(s.settings);
+    policy.retry = retry_share(s.settings, assumed_entry_hosts);
     s.requests =
         std::make_unique<forwarder>(s.protocol, s.make_hooks(), policy, s.settings.zone, log, metrics);
     const auto fault = [&s](http::parse_fault why) { return s.requests->fault_answer(why); };
@@ -273,7 +286,10 @@
 void serving_traffic::adopt(const serve_settings& settings) {
     asio::post(m_state->context, [s = m_state.get(), settings] {
         s->settings.stop_grace = settings.stop_grace;
-        s->requests->set_retry(retry_share(settings));
+        s->settings.retry_ratio = settings.retry_ratio;
+        s->settings.retry_allowance = settings.retry_allowance;
+        s->settings.retry_window = settings.retry_window;
+        s->share_among(s->entry_hosts);
     });
 }
 
@@ -282,8 +298,8 @@
                [s = m_state.get(), listed = std::move(listed)] { s->peers->add_peers(listed); });
 }
 
-retry_budget::config retry_share(const serve_settings& settings) {
-    const double share = settings.retry_allowance / assumed_entry_hosts;
+retry_budget::config retry_share(const serve_settings& settings, std::size_t entry_hosts) {
+    const double share = settings.retry_allowance / static_cast<double>(entry_hosts);
     retry_budget::config config;
     config.ratio = settings.retry_ratio;
     // Half of the share may be spent at once, the other half comes back over the window.
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -155,6 +155,35 @@
     EXPECT_EQ(m_calls.size(), 13U);
 }
 
+// Guards against retries that grow with the number of entry hosts.
+TEST_F(forwarder_fixture, set_retry_changes_budgets_that_are_in_use) {
+    adopt_fleet();
+    send("/again/1");
+    answer_sealed("ok");
+    m_forwarder->set_retry({.ratio = 0, .minimum_per_second = 0, .burst = 1});
+    for (int i = 0; i < 5; ++i) {
+        send("/again/1");
+        answer(500, {{"seal", "s"}}, "");
+        if (!m_calls.back()->over) {
+            answer(500, {{"seal", "s"}}, "");
+        }
+    }
+    EXPECT_EQ(m_calls.size(), 1U + 5U + 1U);
+}
+
+// Guards against connections that a server resets because all hosts together open too many.
+TEST_F(forwarder_fixture, connections_of_a_server_are_divided_among_the_entry_hosts) {
+    adopt_fleet(); // servers accept 100 connections
+    send("/once/1");
+    EXPECT_EQ(call().options.connections, 100U / assumed_entry_hosts);
+    m_forwarder->set_entry_hosts(25);
+    send("/once/2");
+    EXPECT_EQ(call().options.connections, 4U);
+    m_forwarder->set_entry_hosts(400);
+    send("/once/3");
+    EXPECT_EQ(call().options.connections, least_connections);
+}
+
 // Guards against an answer that nobody vouches for.
 TEST_F(forwarder_fixture, success_without_seal_is_not_delivered) {
     adopt_fleet();
--- a/tests/unit-http-connections.cpp
+++ b/tests/unit-http-connections.cpp
@@ -347,13 +347,11 @@
 
 // Guards against more connections than the server accepts.
 TEST_F(http_client_fixture, call_above_the_connection_limit_is_refused) {
-    client_limits limits;
-    limits.connections_per_endpoint = 1;
-    make_client(limits);
-    start();
+    call_options options;
+    options.connections = 1;
+    start("GET / HTTP/1.1\r\n\r\n", options);
     run();
-    EXPECT_FALSE(m_client->has_room(address()));
-    start();
+    start("GET / HTTP/1.1\r\n\r\n", options);
     run();
     EXPECT_EQ(m_events, "sent backend_overloaded ");
 }
