Decode server entries of lists and changes in one place

Cause: reading the change again: the two handlers of the directory service decoded an entry and logged a refused one with the same lines, and contact_lost took a time that it did not use. Change: decode_server serves both; the parameter is gone. No change of behaviour, the tests keep their assertions.

--- a/include/parsleypitch/fleet/fleet_directory.hpp
+++ b/include/parsleypitch/fleet/fleet_directory.hpp
@@ -29,7 +29,7 @@
     /// @brief The store confirmed that nothing changed up to a revision.
     void confirm(object_version as_of, time_point now);
     /// @brief Calls to the store fail.
-    void contact_lost(time_point now);
+    void contact_lost() noexcept { m_in_contact = false; }
     /// @brief Drops lapsed entries whose grace is over.
     /// @return whether any was dropped
     bool expire(time_point now);
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -9,6 +9,7 @@
 #include <parsleypitch/serving/serving_roles.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace parsleypitch {
@@ -31,6 +32,8 @@
   private:
     void open(kernel& host);
     [[nodiscard]] watcher_hooks hooks_for(kernel& host, const std::string& kind);
+    /// @return nothing for an entry of another writer, which is logged once
+    [[nodiscard]] std::optional<backend_server_entry> decode_server(const directory_object& object);
     void on_servers_listed(const std::vector<directory_object>& all, object_version as_of);
     void on_servers_changed(const object_event_batch& batch);
     void on_configuration(const directory_object& object);
--- a/src/fleet/fleet_directory.cpp
+++ b/src/fleet/fleet_directory.cpp
@@ -69,10 +69,6 @@
     m_revision = std::max(m_revision, as_of);
 }
 
-void fleet_directory::contact_lost(time_point /*now*/) {
-    m_in_contact = false;
-}
-
 bool fleet_directory::expire(time_point now) {
     return std::erase_if(m_records, [now](const auto& each) {
                return each.second.lapses_at && *each.second.lapses_at <= now;
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -70,7 +70,7 @@
     hooks.failed = [this, kind](const error& why, duration) {
         contact(kind, false, to_string(why));
         if (kind == servers_kind) {
-            m_fleet.contact_lost(std::chrono::steady_clock::now());
+            m_fleet.contact_lost();
         }
     };
     hooks.schedule = [&host](duration delay, std::function<void()> task) {
@@ -93,15 +93,23 @@
     }
 }
 
+std::optional<backend_server_entry> serving_directory::decode_server(const directory_object& object) {
+    auto entry = m_access.decode_server(object);
+    if (entry) {
+        return std::move(entry.value());
+    }
+    if (m_refused.insert(object.name).second) {
+        m_log->warning("server_entry_refused", {{"entry", object.name}, {"reason", entry.error().detail}});
+    }
+    return std::nullopt;
+}
+
 void serving_directory::on_servers_listed(const std::vector<directory_object>& all, object_version as_of) {
     contact(servers_kind, true, "");
     std::vector<backend_server_entry> entries;
     for (const directory_object& object : all) {
-        if (auto entry = m_access.decode_server(object)) {
-            entries.push_back(std::move(entry.value()));
-        } else if (m_refused.insert(object.name).second) {
-            m_log->warning("server_entry_refused",
-                           {{"entry", object.name}, {"reason", entry.error().detail}});
+        if (auto entry = decode_server(object)) {
+            entries.push_back(std::move(*entry));
         }
     }
     m_fleet.replace(std::move(entries), as_of, std::chrono::steady_clock::now());
@@ -119,11 +127,8 @@
             m_fleet.remove(id, std::max(event.object.revision, batch.as_of), now);
             continue;
         }
-        if (auto entry = m_access.decode_server(event.object)) {
-            m_fleet.update(std::move(entry.value()), now);
-        } else if (m_refused.insert(event.object.name).second) {
-            m_log->warning("server_entry_refused",
-                           {{"entry", event.object.name}, {"reason", entry.error().detail}});
+        if (auto entry = decode_server(event.object)) {
+            m_fleet.update(std::move(*entry), now);
         }
     }
     m_fleet.confirm(batch.as_of, now);
--- a/tests/unit-fleet-directory.cpp
+++ b/tests/unit-fleet-directory.cpp
@@ -32,7 +32,7 @@
 // Guards against a fleet that is empty after an outage of the store in which entries lapsed.
 TEST_F(fleet_directory_fixture, replace_after_an_outage_keeps_missing_servers_for_the_grace) {
     m_fleet.replace({entry("a", 1), entry("b", 2)}, object_version(2), m_now);
-    m_fleet.contact_lost(m_now);
+    m_fleet.contact_lost();
     m_now += seconds(5);
     m_fleet.replace({entry("b", 2)}, object_version(3), m_now);
     EXPECT_EQ(known(), 2U);
@@ -45,7 +45,7 @@
 // Guards against dropping a server that renewed its entry within the grace.
 TEST_F(fleet_directory_fixture, update_of_a_lapsed_entry_ends_its_grace) {
     m_fleet.replace({entry("a", 1)}, object_version(1), m_now);
-    m_fleet.contact_lost(m_now);
+    m_fleet.contact_lost();
     m_fleet.replace({}, object_version(2), m_now);
     m_fleet.update(entry("a", 3), m_now + seconds(1));
     EXPECT_FALSE(m_fleet.expire(m_now + seconds(9)));
@@ -56,7 +56,7 @@
 // taken for a lapse and the server was used for two seconds more.
 TEST_F(fleet_directory_fixture, remove_some_time_after_contact_returned_drops_the_server_at_once) {
     m_fleet.replace({entry("a", 1), entry("b", 1)}, object_version(1), m_now);
-    m_fleet.contact_lost(m_now);
+    m_fleet.contact_lost();
     m_now += seconds(7);
     m_fleet.confirm(object_version(1), m_now);
     m_now += milliseconds(830);
@@ -67,7 +67,7 @@
 // Guards against a grace for servers that had said that they leave.
 TEST_F(fleet_directory_fixture, remove_of_a_draining_server_after_an_outage_drops_it_at_once) {
     m_fleet.replace({entry("a", 1, true)}, object_version(1), m_now);
-    m_fleet.contact_lost(m_now);
+    m_fleet.contact_lost();
     m_fleet.replace({}, object_version(2), m_now);
     EXPECT_EQ(known(), 0U);
 }
