--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -48,17 +48,28 @@
     spawn_plan(spawn_plan&&) = delete;
     spawn_plan& operator=(spawn_plan&&) = delete;
 
-    int spawn(pid_t& id, std::vector<std::string>& command) {
+    int spawn(pid_t& id, std::vector<std::string>& command, std::vector<std::string>& environment) {
         std::vector<char*> arguments;
-        arguments.reserve(command.size() + 1);
-        for (std::string& argument : command) {
-            arguments.push_back(argument.data());
-        }
+        append(command, arguments);
         arguments.push_back(nullptr);
-        return posix_spawn(&id, arguments.front(), &m_actions, &m_attributes, arguments.data(), environ);
+        // The first of two variables of one name counts.
+        std::vector<char*> variables;
+        append(environment, variables);
+        for (char** inherited = environ; *inherited != nullptr; ++inherited) {
+            variables.push_back(*inherited);
+        }
+        variables.push_back(nullptr);
+        return posix_spawn(&id, arguments.front(), &m_actions, &m_attributes, arguments.data(),
+                           variables.data());
     }
 
   private:
+    static void append(std::vector<std::string>& texts, std::vector<char*>& to) {
+        for (std::string& text : texts) {
+            to.push_back(text.data());
+        }
+    }
+
     posix_spawn_file_actions_t m_actions{};
     posix_spawnattr_t m_attributes{};
 };
@@ -87,12 +98,12 @@
 
 } // namespace
 
-result<process> process::start(std::string name, std::vector<std::string> command,
-                               const std::string& folder) {
+result<process> process::start(std::string name, std::vector<std::string> command, const std::string& folder,
+                               std::vector<std::string> environment) {
     process started;
     started.m_name = std::move(name);
     started.m_folder = folder;
-    const int code = spawn_plan(folder + "/" + started.m_name).spawn(started.m_id, command);
+    const int code = spawn_plan(folder + "/" + started.m_name).spawn(started.m_id, command, environment);
     if (code != 0) {
         return fail(errc::backend_unreachable,
                     "process " + started.m_name + " (" + command.front() + "): " + std::strerror(code));
--- a/bench/process.hpp
+++ b/bench/process.hpp
@@ -18,9 +18,11 @@
     /// @param name name of the child and of its files `<name>.out` and `<name>.log`
     /// @param command path of the binary and its arguments
     /// @param folder folder for the output files
+    /// @param environment variables (`NAME=text`) that the child gets besides those of this process
     /// @return `backend_unreachable` with the reason
     [[nodiscard]] static result<process> start(std::string name, std::vector<std::string> command,
-                                               const std::string& folder);
+                                               const std::string& folder,
+                                               std::vector<std::string> environment = {});
 
     process(process&& other) noexcept;
     process& operator=(process&& other) noexcept;
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/core/timer.hpp>
 #include <parsleypitch/forwarding/backend_pool.hpp>
 #include <parsleypitch/forwarding/backend_protocol.hpp>
 #include <parsleypitch/forwarding/placement.hpp>
@@ -24,9 +25,6 @@
 /// @brief Connections to one server that a host may always open.
 inline constexpr std::size_t least_connections = 3;
 
-/// @brief Cancels a timer; after it the timer's function does not run.
-using timer_cancel = std::function<void()>;
-
 /// @brief What forwarding needs from its surroundings; tests replace it.
 struct forwarding_hooks {
     std::function<http::call_handle(const endpoint&, std::string bytes, http::call_options, http::call_hooks)>
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -1,3 +1,4 @@
+#include <parsleypitch/core/timer.hpp>
 #include <parsleypitch/kernel/kernel.hpp>
 
 #include <asio/executor_work_guard.hpp>
@@ -79,12 +80,7 @@
 }
 
 void kernel::post_control_after(duration delay, std::function<void()> task) {
-    auto timer = std::make_shared<asio::steady_timer>(m_threads->control, delay);
-    timer->async_wait([timer, task = std::move(task)](const std::error_code& code) {
-        if (!code) {
-            task();
-        }
-    });
+    (void)start_timer(m_threads->control, delay, std::move(task));
 }
 
 void kernel::every(duration period, std::function<void()> task) {
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -78,19 +78,8 @@
                               http::call_hooks call) {
         return client->start(to, std::move(bytes), options, std::move(call));
     };
-    hooks.start_timer = [this](duration delay, std::function<void()> task) -> timer_cancel {
-        auto timer = std::make_shared<asio::steady_timer>(context, delay);
-        // A handler that is already due runs although its timer was cancelled.
-        auto cancelled = std::make_shared<bool>(false);
-        timer->async_wait([timer, cancelled, task = std::move(task)](const std::error_code& code) {
-            if (!code && !*cancelled) {
-                task();
-            }
-        });
-        return [timer, cancelled] {
-            *cancelled = true;
-            timer->cancel();
-        };
+    hooks.start_timer = [this](duration delay, std::function<void()> task) {
+        return start_timer(context, delay, std::move(task));
     };
     hooks.now = steady_clock_hook();
     hooks.random = seeded_random_hook(random_seed());
