Add a fault soak of real entry hosts between stand-ins of the platform

Ruled out: faults inside the program under test (hooks would not show what signals and sockets do) and a simulated network (the users' bench has one). Stand-ins run in the soak's process, entry hosts are real processes started by it and ended by id; every program has a loopback address of its own, so that runs beside each other need no port allocation.

--- /dev/null
+++ b/soak/store_stand_in.cpp
@@ -0,0 +1,344 @@
+#include "store_stand_in.hpp"
+
+#include "names.hpp"
+
+#include <parsleypitch/core/timer.hpp>
+#include <parsleypitch/http/server.hpp>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+
+namespace parsleypitch::soak {
+
+namespace {
+
+using nlohmann::json;
+using exchange_ptr = std::shared_ptr<http::exchange>;
+namespace names = platform::names;
+
+/// Small enough that every list takes several pages.
+constexpr std::size_t page_size = 4;
+constexpr std::size_t longest_history = 200;
+constexpr std::uint64_t percent_whole = 100;
+constexpr milliseconds longest_late_write{3000};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
+constexpr unsigned status_malformed = 400;
+constexpr unsigned status_missing = 404;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_history_gone = 410;
+constexpr unsigned status_rate_limited = 429;
+constexpr unsigned status_busy = 503;
+
+void answer(const exchange_ptr& to, unsigned status, const json& body) {
+    http::response made;
+    made.head.status = status;
+    made.head.headers.add("Content-Type", "application/json");
+    made.body = body.dump();
+    to->respond(std::move(made));
+}
+
+/// The parts of a target: kind, name (may be empty) and query.
+struct object_target {
+    std::string kind;
+    std::string name;
+    std::map<std::string, std::string> query;
+
+    [[nodiscard]] std::optional<std::uint64_t> number(const std::string& key) const {
+        const auto found = query.find(key);
+        return found == query.end() ? std::nullopt : std::optional(std::stoull(found->second));
+    }
+};
+
+object_target parse_target(const std::string& text) {
+    object_target target;
+    const std::size_t question = text.find('?');
+    const std::string path = text.substr(names::objects_path.size(), question - names::objects_path.size());
+    const std::size_t slash = path.find('/');
+    target.kind = path.substr(0, slash);
+    target.name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    std::string rest = question == std::string::npos ? "" : text.substr(question + 1);
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('&');
+        const std::string pair = rest.substr(0, end);
+        const std::size_t equals = pair.find('=');
+        target.query[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
+        rest = end == std::string::npos ? "" : rest.substr(end + 1);
+    }
+    return target;
+}
+
+} // namespace
+
+struct store_stand_in::state : std::enable_shared_from_this<store_stand_in::state> {
+    struct change {
+        object_version revision;
+        std::string kind;
+        json event;
+    };
+    struct waiting_watch {
+        std::string kind;
+        object_version after;
+        exchange_ptr exchange;
+        timer_cancel cancel;
+    };
+    struct stored_object {
+        json spec;
+        object_version revision;
+    };
+
+    state(asio::io_context& io, endpoint at, random_hook draws)
+        : context(&io), listen(std::move(at)), random(std::move(draws)),
+          listener(
+              io, [this](const exchange_ptr& call) { receive(call); },
+              [](http::parse_fault) {
+                  http::response refused;
+                  refused.head.status = status_malformed;
+                  return refused;
+              }) {}
+
+    void receive(const exchange_ptr& call) {
+        ++calls;
+        switch (condition.answers) {
+        case store_answers::resets:
+            call->abort();
+            return;
+        case store_answers::silence:
+            unanswered.push_back(call);
+            return;
+        case store_answers::busy:
+            answer(call, status_busy, json::object());
+            return;
+        case store_answers::rate_limited:
+            answer(call, status_rate_limited, json::object());
+            return;
+        case store_answers::normal:
+            break;
+        }
+        after(condition.delay, [this, call] { handle(call); });
+    }
+
+    void handle(const exchange_ptr& call) {
+        const http::request& message = call->message();
+        const object_target target = parse_target(message.target);
+        if (message.method == "GET") {
+            read(call, target);
+            return;
+        }
+        if (random(percent_whole) >= condition.lost_writes_percent) {
+            write(call, target);
+            return;
+        }
+        // The write is done, at once or later, and its connection says nothing more.
+        const bool late = random(2) == 0;
+        const auto delay = milliseconds(random(static_cast<std::uint64_t>(longest_late_write.count())));
+        after(late ? delay : milliseconds(0), [this, message = message, target] { apply(message, target); });
+        call->abort();
+    }
+
+    void read(const exchange_ptr& call, const object_target& target) {
+        if (!target.name.empty()) {
+            const auto& of_kind = objects[target.kind];
+            const auto found = of_kind.find(target.name);
+            if (found == of_kind.end()) {
+                answer(call, status_missing, json::object());
+            } else {
+                answer(call, status_ok, encode(found->first, found->second));
+            }
+        } else if (const auto from = target.number("watch")) {
+            watch(call, target, object_version(*from));
+        } else {
+            list(call, target);
+        }
+    }
+
+    void list(const exchange_ptr& call, const object_target& target) {
+        const auto& of_kind = objects[target.kind];
+        const auto after_name = target.query.find("after");
+        auto at =
+            after_name == target.query.end() ? of_kind.begin() : of_kind.upper_bound(after_name->second);
+        json items = json::array();
+        for (; at != of_kind.end() && items.size() < page_size; ++at) {
+            items.push_back(encode(at->first, at->second));
+        }
+        answer(call, status_ok,
+               {{"items", items}, {"has_more", at != of_kind.end()}, {"as_of", newest.value()}});
+    }
+
+    void watch(const exchange_ptr& call, const object_target& target, object_version from) {
+        if (from < forgotten) {
+            answer(call, status_history_gone, json::object());
+            return;
+        }
+        if (json events = events_after(target.kind, from); !events.empty()) {
+            answer(call, status_ok, {{"events", std::move(events)}, {"as_of", newest.value()}});
+            return;
+        }
+        const milliseconds wait(target.number("wait_ms").value_or(0));
+        const auto added = watches.insert(watches.end(), {target.kind, from, call, {}});
+        added->cancel = start_timer(*context, wait, [this, added] { end_watch(added); });
+    }
+
+    void end_watch(std::list<waiting_watch>::iterator which) {
+        which->cancel();
+        answer(which->exchange, status_ok,
+               {{"events", events_after(which->kind, which->after)}, {"as_of", newest.value()}});
+        watches.erase(which);
+    }
+
+    [[nodiscard]] json events_after(const std::string& kind, object_version from) const {
+        json events = json::array();
+        for (const change& each : history) {
+            if (each.kind == kind && each.revision > from) {
+                events.push_back(each.event);
+            }
+        }
+        return events;
+    }
+
+    void write(const exchange_ptr& call, const object_target& target) {
+        const auto [status, body] = apply(call->message(), target);
+        answer(call, status, body);
+    }
+
+    std::pair<unsigned, json> apply(const http::request& message, const object_target& target) {
+        const json sent = json::parse(message.body, nullptr, false);
+        if (sent.is_discarded() || !sent.contains("metadata")) {
+            return {status_malformed, json::object()};
+        }
+        const json& metadata = sent["metadata"];
+        const bool creates = message.method == "POST";
+        const std::string name = creates ? metadata.value("name", "") : target.name;
+        auto& of_kind = objects[target.kind];
+        const auto found = of_kind.find(name);
+        if (!creates && found == of_kind.end()) {
+            return {status_missing, json::object()};
+        }
+        const bool raced =
+            found != of_kind.end() &&
+            (creates || (metadata.contains("revision") &&
+                         metadata["revision"].get<std::uint64_t>() != found->second.revision.value()));
+        if (raced) {
+            return {status_conflict, encode(name, found->second)};
+        }
+        change_object(target.kind, name, sent.value("spec", json::object()));
+        return {creates ? status_created : status_ok, encode(name, of_kind[name])};
+    }
+
+    object_version change_object(const std::string& kind, const std::string& name, json spec) {
+        stored_object& object = objects[kind][name];
+        if (object.spec != spec) {
+            newest = newest.next();
+            object = {std::move(spec), newest};
+            record(kind, {{"object", encode(name, object)}, {"deleted", false}});
+        }
+        return object.revision;
+    }
+
+    void record(const std::string& kind, json event) {
+        history.push_back({newest, kind, std::move(event)});
+        if (history.size() > longest_history) {
+            forgotten = history.front().revision;
+            history.pop_front();
+        }
+        for (auto at = watches.begin(); at != watches.end();) {
+            const auto each = at++;
+            if (each->kind == kind) {
+                end_watch(each);
+            }
+        }
+    }
+
+    static json encode(const std::string& name, const stored_object& object) {
+        return {{"metadata", {{"name", name}, {"revision", object.revision.value()}}}, {"spec", object.spec}};
+    }
+
+    void after(duration delay, std::function<void()> task) {
+        if (delay <= duration::zero()) {
+            task();
+            return;
+        }
+        start_timer(*context, delay, [self = shared_from_this(), task = std::move(task)] { task(); });
+    }
+
+    asio::io_context* context;
+    endpoint listen;
+    random_hook random;
+    http::server listener;
+    store_condition condition;
+    std::map<std::string, std::map<std::string, stored_object>> objects;
+    std::deque<change> history;
+    std::list<waiting_watch> watches;
+    /// Calls that get no answer while the store is silent.
+    std::vector<exchange_ptr> unanswered;
+    object_version newest{1};
+    /// Changes up to this revision can't be watched any more.
+    object_version forgotten{0};
+    std::uint64_t calls = 0;
+};
+
+store_stand_in::store_stand_in(asio::io_context& context, endpoint listen, random_hook random)
+    : m_state(std::make_shared<state>(context, std::move(listen), std::move(random))) {
+}
+
+store_stand_in::~store_stand_in() {
+    close();
+}
+
+result<void> store_stand_in::open() {
+    return m_state->listener.listen(m_state->listen);
+}
+
+void store_stand_in::set(const store_condition& condition) {
+    m_state->condition = condition;
+    const bool watches_end =
+        condition.answers == store_answers::resets || condition.answers == store_answers::busy;
+    if (watches_end) {
+        for (auto& each : std::exchange(m_state->watches, {})) {
+            each.cancel();
+            each.exchange->abort();
+        }
+    }
+    if (condition.answers != store_answers::silence) {
+        for (const exchange_ptr& each : std::exchange(m_state->unanswered, {})) {
+            each->abort();
+        }
+    }
+}
+
+void store_stand_in::forget_history() {
+    m_state->history.clear();
+    m_state->forgotten = m_state->newest;
+    for (auto& each : std::exchange(m_state->watches, {})) {
+        each.cancel();
+        each.exchange->abort();
+    }
+}
+
+object_version store_stand_in::put(std::string_view kind, const object_key& name, json spec) {
+    return m_state->change_object(std::string(kind), name.str(), std::move(spec));
+}
+
+void store_stand_in::remove(std::string_view kind, const object_key& name) {
+    auto& of_kind = m_state->objects[std::string(kind)];
+    const auto found = of_kind.find(name.str());
+    if (found == of_kind.end()) {
+        return;
+    }
+    const json object = state::encode(name.str(), found->second);
+    of_kind.erase(found);
+    m_state->newest = m_state->newest.next();
+    m_state->record(std::string(kind), {{"object", object}, {"deleted", true}});
+}
+
+std::uint64_t store_stand_in::calls() const {
+    return m_state->calls;
+}
+
+void store_stand_in::close() {
+    m_state->listener.stop();
+}
+
+} // namespace parsleypitch::soak
