Handle signals until the process ends

The process ended with code 129: it had received SIGHUP while it drained. The signal sets lived in the function that waits for the stop, so that SIGHUP and SIGTERM had their default action again during the drain, and either of them ended the process with the requests that it had read.

Ruled out: the engines (they were at work when the connection closed), the grace (150 ms after SIGTERM), the drain itself (without the second signal nothing is lost).

Change: process_signals takes the signals from the start of the process to its end.

--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -16,32 +16,41 @@
 
 namespace {
 
-/// Waits for SIGTERM or SIGINT; SIGHUP reloads the settings.
-int wait_for_stop(serving_directory& directory) {
-    asio::io_context signals(1);
-    asio::signal_set stop(signals, SIGTERM, SIGINT);
-    asio::signal_set reload(signals, SIGHUP);
-    int received = 0;
-    stop.async_wait([&signals, &received](const std::error_code&, int number) {
-        received = number;
-        signals.stop();
-    });
-    std::function<void()> wait_for_reload = [&] {
-        reload.async_wait([&](const std::error_code& code, int) {
+/// Signals of this process, taken from the construction to the end: with its default action, a SIGHUP or a
+/// second SIGTERM would end a process that is still draining.
+class process_signals {
+  public:
+    /// Waits for SIGTERM or SIGINT and calls `reload` for each SIGHUP before it.
+    int wait_for_stop(const std::function<void()>& reload) {
+        int received = 0;
+        m_stop.async_wait([this, &received](const std::error_code&, int number) {
+            received = number;
+            m_context.stop();
+        });
+        wait_for_reload(reload);
+        m_context.run();
+        return received;
+    }
+
+  private:
+    void wait_for_reload(const std::function<void()>& reload) {
+        m_reload.async_wait([this, &reload](const std::error_code& code, int) {
             if (!code) {
-                directory.reload("SIGHUP");
-                wait_for_reload();
+                reload();
+                wait_for_reload(reload);
             }
         });
-    };
-    wait_for_reload();
-    signals.run();
-    return received;
-}
+    }
+
+    asio::io_context m_context{1};
+    asio::signal_set m_stop{m_context, SIGTERM, SIGINT};
+    asio::signal_set m_reload{m_context, SIGHUP};
+};
 
 int serve(const platform_adapter& adapter) {
     // A peer that goes away must not end the process.
     (void)std::signal(SIGPIPE, SIG_IGN);
+    process_signals signals;
     const auto settings = adapter.load_settings();
     if (!settings) {
         return report_failure(settings.error());
@@ -70,7 +79,7 @@
                           {"zone", settings.value().zone},
                           {"callers", settings.value().callers},
                           {"store", settings.value().store}});
-    const int received = wait_for_stop(*directory);
+    const int received = signals.wait_for_stop([&directory] { directory->reload("SIGHUP"); });
     log->info("stopping", {{"signal", std::int64_t{received}}});
     host.drain();
     log->info("stopped", {});
