Make the evening page and the story of a request from logs

Cause: on the users' machines on-call engineers have only logs and metrics.

The line of a request now carries the kind, the urgency and the target of its route.

What is not recorded (killed processes, lines left out, unreadable lines) is named on the page.

--- a/src/cli/report_command.cpp
+++ b/src/cli/report_command.cpp
@@ -5,6 +5,7 @@
 #include <parsleypitch/configuration/config_store.hpp>
 #include <parsleypitch/platform/http_object_store.hpp>
 #include <parsleypitch/report/day_page.hpp>
+#include <parsleypitch/report/log_day.hpp>
 
 #include <cxxopts.hpp>
 
@@ -19,6 +20,8 @@
     utc_day day{};
     environment_name environment;
     endpoint store;
+    /// Logs of hosts on the platform, read instead of the store.
+    std::vector<std::string> logs;
     std::string html;
     bool json = false;
 };
@@ -47,10 +50,34 @@
     return std::clamp(std::chrono::duration_cast<seconds>(now - day), seconds(0), seconds(86'400));
 }
 
-result<void> print_report(const report_command_hooks& hooks, const report_options& options) {
+struct reported_day {
+    day_rollup records;
+    day_promises promises;
+};
+
+result<reported_day> read_from_store(const report_command_hooks& hooks, const report_options& options) {
     const object_store store = hooks.open_store(options.store);
     BOOST_OUTCOME_TRY(promises, read_promises(store, options.environment));
-    BOOST_OUTCOME_TRY(day, read_day(store, options.environment, options.day));
+    BOOST_OUTCOME_TRY(records, read_day(store, options.environment, options.day));
+    return reported_day{std::move(records), promises};
+}
+
+result<reported_day> read_from_logs(const report_options& options) {
+    log_day day(options.environment, options.day);
+    for (const std::string& path : options.logs) {
+        std::ifstream file(path);
+        if (!file) {
+            return fail(errc::unreadable_file, path);
+        }
+        day.read(file);
+    }
+    return reported_day{day.rollup(), {}};
+}
+
+result<void> print_report(const report_command_hooks& hooks, const report_options& options) {
+    BOOST_OUTCOME_TRY(read, options.logs.empty() ? read_from_store(hooks, options) : read_from_logs(options));
+    const day_rollup& day = read.records;
+    const day_promises& promises = read.promises;
     const day_verdict verdict = judge_day(day, promises, due_until(options.day, hooks.wall_clock()));
     *hooks.out << (options.json ? render_json(day, verdict) : render_text(day, verdict));
     if (!options.html.empty()) {
@@ -65,21 +92,28 @@
 
 /// @return what is wrong with the arguments, or an empty text
 std::string read_options(const cxxopts::ParseResult& parsed, report_options& options) {
-    for (const char* required : {"day", "env", "store"}) {
+    for (const char* required : {"day", "env"}) {
         if (parsed.count(required) == 0) {
             return std::string("--") + required + " is required";
         }
     }
+    if ((parsed.count("store") > 0) == (parsed.count("log") > 0)) {
+        return "expected either --store or --log";
+    }
     const auto day = parse_day(parsed["day"].as<std::string>());
     if (!day) {
         return "expected a day YYYY-MM-DD, got " + parsed["day"].as<std::string>();
     }
     options.day = *day;
     options.environment = environment_name(parsed["env"].as<std::string>());
-    options.store = endpoint(parsed["store"].as<std::string>());
+    if (parsed.count("log") > 0) {
+        options.logs = parsed["log"].as<std::vector<std::string>>();
+    } else {
+        options.store = endpoint(parsed["store"].as<std::string>());
+    }
     options.html = parsed.count("html") > 0 ? parsed["html"].as<std::string>() : "";
     options.json = parsed.count("json") > 0;
-    return parsleypitch::detail::is_endpoint(options.store.str())
+    return !options.logs.empty() || parsleypitch::detail::is_endpoint(options.store.str())
                ? ""
                : "expected an IP number and a port such as 10.0.0.1:8080, got " + options.store.str();
 }
@@ -88,8 +122,10 @@
     cxxopts::Options parser("parsleypitch report", "prints the evening page of a day");
     const auto text = [] { return cxxopts::value<std::string>(); };
     parser.add_options()("day", "day of UTC", text(), "YYYY-MM-DD")("env", "environment", text(), "NAME")(
-        "store", "address of the object API", text(), "IP:PORT")("html", "also write HTML", text(), "FILE")(
-        "json", "print JSON")("h,help", "print this help");
+        "store", "address of the object API", text(),
+        "IP:PORT")("log", "outputs of entry hosts on the platform, instead of --store",
+                   cxxopts::value<std::vector<std::string>>(), "FILE,...")(
+        "html", "also write HTML", text(), "FILE")("json", "print JSON")("h,help", "print this help");
     std::vector<const char*> argv = {"parsleypitch"};
     for (const std::string& argument : arguments) {
         argv.push_back(argument.c_str());
--- a/src/cli/status_command.cpp
+++ b/src/cli/status_command.cpp
@@ -4,9 +4,12 @@
 #include "parsleypitch.grpc.pb.h"
 #include "settings/toml_reader.hpp"
 
+#include <parsleypitch/report/log_story.hpp>
+
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <iostream>
 #include <map>
 
@@ -20,6 +23,8 @@
 
 struct status_options {
     std::vector<endpoint> peers;
+    /// Logs of hosts on the platform, read instead of asking peers.
+    std::vector<std::string> logs;
     request_id id;
     bool json_form = false;
 };
@@ -127,7 +132,28 @@
     return exit_failure;
 }
 
+int explain_from_logs(const status_command_hooks& hooks, const status_options& options) {
+    std::vector<log_opener> logs;
+    for (const std::string& path : options.logs) {
+        if (!std::ifstream(path)) {
+            *hooks.err << "explain: " << to_string(fail(errc::unreadable_file, path)) << '\n';
+            return exit_failure;
+        }
+        logs.emplace_back([path] { return std::make_unique<std::ifstream>(path); });
+    }
+    const auto story = tell_request(logs, options.id);
+    if (!story) {
+        *hooks.err << "explain: " << to_string(story.error()) << '\n';
+        return exit_failure;
+    }
+    *hooks.out << story.value();
+    return exit_success;
+}
+
 int run_explain(const status_command_hooks& hooks, const status_options& options) {
+    if (!options.logs.empty()) {
+        return explain_from_logs(hooks, options);
+    }
     std::string asked;
     std::optional<std::string> unknown;
     for (const endpoint& peer : options.peers) {
@@ -158,14 +184,19 @@
 
 /// @return what is wrong with the arguments, or an empty text
 std::string read_options(const cxxopts::ParseResult& parsed, bool needs_id, status_options& options) {
-    if (parsed.count("peer") == 0) {
-        return "--peer is required";
+    const bool reads_logs = needs_id && parsed.count("log") > 0;
+    if (reads_logs == (parsed.count("peer") > 0)) {
+        return needs_id ? "expected either --peer or --log" : "--peer is required";
     }
-    for (const std::string& peer : parsed["peer"].as<std::vector<std::string>>()) {
-        if (!parsleypitch::detail::is_endpoint(peer)) {
-            return "expected an IP number and a port such as 10.0.0.1:8080, got " + peer;
+    if (reads_logs) {
+        options.logs = parsed["log"].as<std::vector<std::string>>();
+    } else {
+        for (const std::string& peer : parsed["peer"].as<std::vector<std::string>>()) {
+            if (!parsleypitch::detail::is_endpoint(peer)) {
+                return "expected an IP number and a port such as 10.0.0.1:8080, got " + peer;
+            }
+            options.peers.emplace_back(peer);
         }
-        options.peers.emplace_back(peer);
     }
     if ((parsed.count("id") > 0) != needs_id) {
         return needs_id ? "expected REQUEST-ID" : "expected no further argument";
@@ -187,6 +218,10 @@
                                      cxxopts::value<std::vector<std::string>>(),
                                      "IP:PORT,...")("json", "print JSON")("h,help", "print this help")(
                     "id", "request id", cxxopts::value<std::string>(), "REQUEST-ID");
+                if (name == "explain") {
+                    parser.add_options()("log", "outputs of entry hosts on the platform, instead of --peer",
+                                         cxxopts::value<std::vector<std::string>>(), "FILE,...");
+                }
                 parser.parse_positional({"id"});
                 std::vector<const char*> argv = {"parsleypitch"};
                 for (const std::string& argument : arguments) {
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -156,8 +156,12 @@
         m_patience_timer();
     }
     const std::string route_name = m_route == nullptr ? "" : m_route->id.str();
+    const duration target = m_route == nullptr ? duration::zero() : m_route->target_latency;
     m_shared->log->info("request", {{"request", m_call.id},
                                     {"route", route_name},
+                                    {"kind", m_route == nullptr ? "" : to_string(m_route->kind)},
+                                    {"urgency", m_route == nullptr ? 0 : m_route->urgency},
+                                    {"target_ms", std::chrono::duration_cast<milliseconds>(target).count()},
                                     {"outcome", outcome},
                                     {"status", status},
                                     {"reason", reason},
--- /dev/null
+++ b/src/report/log_day.cpp
@@ -0,0 +1,130 @@
+#include "report/log_line.hpp"
+
+#include <parsleypitch/core/error.hpp>
+#include <parsleypitch/forwarding/route_table.hpp>
+#include <parsleypitch/report/log_day.hpp>
+
+#include <algorithm>
+
+namespace parsleypitch {
+
+namespace {
+
+using detail::log_line;
+
+rank rank_of(const log_line& request) {
+    const auto urgency = static_cast<std::size_t>(request.number("urgency"));
+    return all_ranks.at(std::min(urgency, rank_count - 1));
+}
+
+work_id work_of(const log_line& request) {
+    const std::string kind = request.text("kind");
+    if (kind.empty()) {
+        return no_work();
+    }
+    if (kind == to_string(request_kind::idempotent)) {
+        return work_id("lookup/" + request.text("route"));
+    }
+    const bool generates = kind == to_string(request_kind::stream);
+    return work_id((generates ? "model/" : "service/") + request.text("route"));
+}
+
+run_state run_state_of(const log_line& request) {
+    const std::string ran = request.text("ran");
+    for (const run_state each : {run_state::not_run, run_state::ran}) {
+        if (ran == to_string(each)) {
+            return each;
+        }
+    }
+    return run_state::outcome_unknown;
+}
+
+duration millis_of(const log_line& line, const char* key) {
+    return from_seconds(line.number(key) / 1000);
+}
+
+request_end decode_request(const log_line& line, const availability_zone_id& zone) {
+    request_end end;
+    end.id = request_id(line.text("request"));
+    end.cell = {rank_of(line), work_of(line), zone};
+    end.ran = run_state_of(line);
+    // The page counts only plain calls as bookings; an answer of a model may be asked for again.
+    end.repeatable = line.text("kind") != to_string(request_kind::at_most_once);
+    end.attempts = static_cast<std::uint64_t>(line.number("sends"));
+    const bool streamed = line.number("events") > 0;
+    end.first_answer = millis_of(line, streamed ? "first_event_ms" : "took_ms");
+    end.target = milliseconds(static_cast<std::int64_t>(line.number("target_ms")));
+    const std::string outcome = line.text("outcome");
+    end.caller_gone = outcome == "caller_gone";
+    if (outcome == "server_failure") {
+        end.refused = reason_id(reason_name(make_error_code(errc::backend_failed)));
+    } else if (outcome != "answered" && !end.caller_gone) {
+        end.refused = reason_id(line.text("reason"));
+    }
+    return end;
+}
+
+} // namespace
+
+log_day::log_day(environment_name environment, utc_day day) {
+    m_rollup.environment = std::move(environment);
+    m_rollup.day = day;
+}
+
+void log_day::read(std::istream& lines) {
+    constexpr seconds day_length{86'400};
+    std::vector<rollup_source> processes;
+    std::uint64_t not_recorded = 0;
+    const std::uint64_t unreadable = detail::read_log(lines, [&](const log_line& line) {
+        const auto since = std::chrono::floor<seconds>(line.at - m_rollup.day);
+        if (since >= day_length) {
+            return;
+        }
+        if (line.event == "started") {
+            rollup_source process;
+            process.host = entry_host_id(line.text("entry_host"));
+            process.zone = availability_zone_id(line.text("zone"));
+            process.born = incarnation(static_cast<std::uint64_t>(
+                std::chrono::duration_cast<milliseconds>(line.at.time_since_epoch()).count()));
+            process.from = std::max(since, seconds(0));
+            processes.push_back(std::move(process));
+        }
+        if (processes.empty()) {
+            ++not_recorded; // the line that names the host is missing
+            return;
+        }
+        rollup_source& process = processes.back();
+        process.through = std::max(since, seconds(0));
+        process.final = line.event == "stopped";
+        if (since < seconds(0)) {
+            return;
+        }
+        if (line.event == "request" && !line.fields.contains("kind")) {
+            ++not_recorded; // written by a version that did not tell the kind
+        } else if (line.event == "request") {
+            m_rollup.add(since, decode_request(line, process.zone));
+        } else if (line.event == "log_lines_left_out") {
+            process.lost_events += static_cast<std::uint64_t>(line.number("count"));
+        } else if (line.event == "order_answered" && line.text("accepted") == "true") {
+            m_rollup.role_changes.add({since, backend_server_id(line.text("engine")),
+                                       parse_engine_role(line.text("to")).value_or(engine_role::mixed),
+                                       "ordered by " + process.host.str()});
+        } else if (line.event == "draining") {
+            m_rollup.drains.add({since, process.host.str(), "told to stop"});
+        }
+    });
+    if (processes.empty() && unreadable + not_recorded > 0) {
+        processes.emplace_back().final = true;
+    }
+    if (!processes.empty()) {
+        processes.back().lost_events += unreadable + not_recorded;
+    }
+    // A process that ended before the day leaves nothing on it.
+    std::erase_if(processes, [](const rollup_source& each) {
+        return each.final && each.through == seconds(0) && each.lost_events == 0;
+    });
+    m_rollup.sources.insert(m_rollup.sources.end(), processes.begin(), processes.end());
+    std::sort(m_rollup.sources.begin(), m_rollup.sources.end());
+}
+
+} // namespace parsleypitch
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -219,8 +219,10 @@
         const bool accepted = answer == order_answer::accepted || answer == order_answer::already_holds;
         self->m_metrics->count(metric_name("parsleypitch_orders_total"),
                                {{"accepted", accepted ? "1" : "0"}});
-        self->m_log->info("order_answered",
-                          {{"engine", order.target}, {"accepted", accepted}, {"status", head.status}});
+        self->m_log->info("order_answered", {{"engine", order.target},
+                                             {"to", to_string(order.to)},
+                                             {"accepted", accepted},
+                                             {"status", head.status}});
     };
     hooks.body = [](const std::string&) {};
     hooks.end = [] {};
--- a/tests/unit-soak-processes.cpp
+++ b/tests/unit-soak-processes.cpp
@@ -3,10 +3,14 @@
 #include "soak_run.hpp"
 #include "soak_traffic.hpp"
 
+#include <parsleypitch/report/day_verdict.hpp>
+#include <parsleypitch/report/log_day.hpp>
+
 #include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace parsleypitch::soak {
@@ -88,6 +92,30 @@
     EXPECT_EQ(finish(), "");
 }
 
+// Guards against an evening page that differs from what callers got.
+TEST_F(serve_process_fixture, evening_page_from_logs_counts_what_callers_saw) {
+    start();
+    pass(milliseconds(2000));
+    EXPECT_EQ(finish(), "");
+    std::size_t answered = 0;
+    m_traffic->run([&](soak_traffic::world& all) {
+        for (const auto& [id, request] : all.seen.requests) {
+            answered += request.answer && request.answer->complete && request.answer->status == 200 ? 1 : 0;
+        }
+    });
+    log_day day(environment_name("production"),
+                std::chrono::floor<std::chrono::days>(std::chrono::system_clock::now()));
+    for (std::size_t host = 0; host < m_plan.entry_hosts; ++host) {
+        std::ifstream log(m_plan.folder + "/" + host_id(host).str() + ".out");
+        day.read(log);
+    }
+    const day_verdict verdict = judge_day(day.rollup(), {}, seconds(0));
+    EXPECT_EQ(static_cast<std::size_t>(verdict.total.in_target.value() + verdict.total.late.value()),
+              answered);
+    EXPECT_EQ(verdict.lost_events, 0U);
+    EXPECT_EQ(day.rollup().sources.size(), m_plan.entry_hosts);
+}
+
 // Guards against an adapter, store client or request path that fails although its parts work alone.
 TEST_F(serve_process_fixture, calm_hosts_serve_nearly_every_request) {
     m_plan.faults_for = seconds(4);
