--- a/tests/unit-soak-processes.cpp
+++ b/tests/unit-soak-processes.cpp
@@ -129,4 +129,35 @@
     EXPECT_GT(report.value().requests, 0U);
 }
 
+/// A seed that failed once, with the cause of its failure.
+struct soak_case {
+    std::uint64_t seed = 0;
+    const char* cause = "";
+};
+
+/// Whole runs of the soak.
+class soak_seed_fixture : public testing::TestWithParam<soak_case> {};
+
+// Guards against the return of failures that a seed has shown.
+TEST_P(soak_seed_fixture, run_of_a_seed_that_failed_keeps_every_promise) {
+    soak_plan plan;
+    plan.seed = GetParam().seed;
+    plan.mix = mix_of_seed(plan.seed);
+    plan.program = PARSLEYPITCH_BINARY_DIR "/parsleypitch";
+    plan.folder = testing::TempDir() + "parsleypitch-soak-" + std::to_string(::getpid());
+    plan.network = static_cast<unsigned>(::getpid());
+    std::filesystem::create_directories(plan.folder);
+    const auto report = run_soak(plan);
+    ASSERT_TRUE(report) << to_string(report.error());
+    EXPECT_GT(report.value().requests, 0U);
+    for (const broken_promise& each : report.value().broken) {
+        ADD_FAILURE() << GetParam().cause << " again? " << to_string(each.which) << ": " << each.detail;
+    }
+    std::filesystem::remove_all(plan.folder);
+}
+
+INSTANTIATE_TEST_SUITE_P(failed_seeds, soak_seed_fixture,
+                         testing::Values(soak_case{3, "SIGHUP ended a host that was draining"},
+                                         soak_case{4, "SIGHUP ended a host that was draining"}));
+
 } // namespace parsleypitch::soak
