Hash a prompt's prefixes once for all engines

Cause: cached_tokens hashed the prefixes of a prompt anew for every candidate engine, and the placement asked it twice for each engine and summed the shared tokens anew for each plan.

Ruled out: caching across requests (prompts rarely repeat whole).

Change: prompt_prefixes holds the hashes; the placement notes once what each engine keeps.

Conclusion: the cost of a placement no longer grows with engines times parts of the prompt hashed.

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -59,6 +60,21 @@
     [[nodiscard]] bool on_probation() const noexcept { return failures_in_row > 0; }
 };
 
+/// @brief The parts of a prompt with the hash of the prefix that ends with each of them, computed once for
+/// all servers.
+class prompt_prefixes {
+  public:
+    explicit prompt_prefixes(std::span<const prompt_part> parts);
+
+    [[nodiscard]] std::span<const prompt_part> parts() const noexcept { return m_parts; }
+    /// @brief Hashes of the prefixes, one for each part.
+    [[nodiscard]] const std::vector<prefix_hash>& hashes() const noexcept { return m_hashes; }
+
+  private:
+    std::span<const prompt_part> m_parts;
+    std::vector<prefix_hash> m_hashes;
+};
+
 /// @brief Beliefs about all backend servers; used on the traffic thread only.
 class backend_pool {
   public:
@@ -96,7 +112,7 @@
     [[nodiscard]] std::size_t peers() const noexcept { return m_peer_load.peers(); }
 
     /// @brief Tokens at the front of a prompt that the server probably keeps.
-    [[nodiscard]] double cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
+    [[nodiscard]] double cached_tokens(const backend_server_id& id, const prompt_prefixes& prompt,
                                        time_point now) const;
 
   private:
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -22,17 +22,6 @@
 constexpr double excess_weight = 0.4;
 constexpr double excess_decay_s = 1.5;
 
-/// Hashes of the prefixes that end with each part.
-std::vector<prefix_hash> prefix_hashes(const std::vector<prompt_part>& parts) {
-    std::vector<prefix_hash> hashes;
-    std::uint64_t chained = 0;
-    for (const prompt_part& part : parts) {
-        chained = hash_bytes(part.id.str(), chained);
-        hashes.emplace_back(chained);
-    }
-    return hashes;
-}
-
 void avoid(backend_state& state, time_point until) {
     state.avoid_until = std::max(state.avoid_until, until);
 }
@@ -69,6 +58,14 @@
     return excess_ms * std::exp(-std::max(0.0, to_seconds(now - excess_at)) / detail::excess_decay_s);
 }
 
+prompt_prefixes::prompt_prefixes(std::span<const prompt_part> parts) : m_parts(parts) {
+    std::uint64_t chained = 0;
+    for (const prompt_part& part : parts) {
+        chained = hash_bytes(part.id.str(), chained);
+        m_hashes.emplace_back(chained);
+    }
+}
+
 void backend_pool::adopt(std::shared_ptr<const fleet_snapshot> snapshot) {
     std::set<backend_server_id> listed;
     m_usable.clear();
@@ -176,7 +173,8 @@
 
 void backend_pool::note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts,
                                time_point now) {
-    for (const prefix_hash hash : detail::prefix_hashes(parts)) {
+    const prompt_prefixes prompt(parts);
+    for (const prefix_hash hash : prompt.hashes()) {
         m_prefixes.note_sent(id, hash, now);
     }
 }
@@ -217,14 +215,14 @@
     }
 }
 
-double backend_pool::cached_tokens(const backend_server_id& id, const std::vector<prompt_part>& parts,
+double backend_pool::cached_tokens(const backend_server_id& id, const prompt_prefixes& prompt,
                                    time_point now) const {
     const auto found = m_states.find(id);
     if (found == m_states.end()) {
         return 0;
     }
     double reported = 0;
-    for (const prompt_part& part : parts) {
+    for (const prompt_part& part : prompt.parts()) {
         const auto kept = found->second.kept_parts.find(part.id);
         const token_count tokens = kept == found->second.kept_parts.end() ? token_count() : kept->second;
         reported += static_cast<double>(std::min(tokens, part.tokens).value());
@@ -234,10 +232,9 @@
     }
     double expected = 0;
     double front = 0;
-    const auto hashes = detail::prefix_hashes(parts);
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        front += static_cast<double>(parts[i].tokens.value());
-        const double probability = m_prefixes.probability(id, hashes[i], now);
+    for (std::size_t i = 0; i < prompt.parts().size(); ++i) {
+        front += static_cast<double>(prompt.parts()[i].tokens.value());
+        const double probability = m_prefixes.probability(id, prompt.hashes()[i], now);
         if (probability <= 0) {
             break;
         }
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <limits>
 #include <span>
+#include <unordered_map>
 
 namespace parsleypitch {
 
@@ -120,7 +121,10 @@
         m_decode = candidates(pool, service.id, constraints, policy.engine_silence, now, answers);
         m_prefill_home = home_of(m_prefill, shared_parts(work));
         m_decode_home = home_of(m_decode, shared_parts(work));
-        find_holder();
+        for (const prompt_part& part : shared_parts(work)) {
+            m_shared_tokens += static_cast<double>(part.tokens.value());
+        }
+        find_kept_parts();
     }
 
     [[nodiscard]] std::optional<generation_placement> best() const {
@@ -168,32 +172,32 @@
                m_policy.excess_interference_weight * std::max(0.0, work - m_policy.tolerated_interference_ms);
     }
     [[nodiscard]] double reread_penalty(const placed_engine& placed) const {
-        const double missing = std::max(0.0, shared_tokens() - placed.cached_tokens);
+        const double missing = std::max(0.0, m_shared_tokens - placed.cached_tokens);
         return missing / 1000 * m_policy.reread_penalty_ms_per_thousand;
     }
-    [[nodiscard]] double shared_tokens() const {
-        double shared = 0;
-        for (const prompt_part& part : shared_parts(m_work)) {
-            shared += static_cast<double>(part.tokens.value());
-        }
-        return shared;
-    }
     [[nodiscard]] double zone_delay(const backend_state& engine) const {
         return engine.entry.zone == m_constraints.own_zone ? 0 : m_policy.zone_ms;
     }
 
     /// Tokens at the front of the prompt that an engine keeps, from hints and from being home.
-    [[nodiscard]] double kept_by(const backend_state& engine) const {
-        const double hinted = m_pool.cached_tokens(engine.entry.id, m_work.parts, m_now);
+    [[nodiscard]] double expect_kept(const backend_state& engine, const prompt_prefixes& prompt) const {
+        const double hinted = m_pool.cached_tokens(engine.entry.id, prompt, m_now);
         const bool home = &engine == m_prefill_home || &engine == m_decode_home;
-        return home ? std::max(hinted, shared_tokens() * m_policy.home_hit_rate) : hinted;
+        return home ? std::max(hinted, m_shared_tokens * m_policy.home_hit_rate) : hinted;
     }
 
-    /// The engine that most probably keeps the shared parts; others can fetch them from it.
-    void find_holder() {
+    /// Notes what each engine keeps, and the one that most probably keeps the shared parts; others can fetch
+    /// them from it.
+    void find_kept_parts() {
+        const prompt_prefixes prompt(m_work.parts);
         for (const auto* engines : {&m_prefill, &m_decode}) {
             for (const backend_state* each : *engines) {
-                const double kept = std::min(kept_by(*each), shared_tokens());
+                const auto [noted, added] = m_kept.try_emplace(each, 0);
+                if (!added) {
+                    continue;
+                }
+                noted->second = expect_kept(*each, prompt);
+                const double kept = std::min(noted->second, m_shared_tokens);
                 if (kept > m_holder_tokens) {
                     m_holder = each;
                     m_holder_tokens = kept;
@@ -204,7 +208,7 @@
 
     [[nodiscard]] placed_engine reading(const backend_state& engine) const {
         placed_engine placed = describe(engine);
-        placed.cached_tokens = kept_by(engine);
+        placed.cached_tokens = m_kept.at(&engine);
         const double missing = m_holder_tokens - placed.cached_tokens;
         if (m_holder != nullptr && m_holder != &engine && missing > m_policy.least_fetch_tokens) {
             placed.fetch_from = m_holder->entry.address;
@@ -278,6 +282,8 @@
     const backend_state* m_prefill_home = nullptr;
     const backend_state* m_decode_home = nullptr;
     const backend_state* m_holder = nullptr;
+    double m_shared_tokens = 0;
+    std::unordered_map<const backend_state*, double> m_kept;
     double m_holder_tokens = 0;
 };
 
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -25,7 +25,7 @@
         m_pool.adopt(std::shared_ptr<const fleet_snapshot>(snapshot));
     }
     [[nodiscard]] double cached(const std::string& id) const {
-        return m_pool.cached_tokens(backend_server_id(id), m_parts, m_now);
+        return m_pool.cached_tokens(backend_server_id(id), prompt_prefixes(m_parts), m_now);
     }
     void fail_once(const std::string& id) {
         m_pool.note_sent(backend_server_id(id), 0, m_now);
