--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -63,7 +63,8 @@
     std::string events;
     for (std::uint64_t number = first; number <= last; ++number) {
         const std::string text = std::to_string(number);
-        events += "id: " + text + "\ndata: " + id.str() + "/" + text + "\n\n";
+        events.append("id: ").append(text).append("\ndata: ").append(id.str());
+        events.append("/").append(text).append("\n\n");
     }
     return events;
 }
--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -11,12 +11,14 @@
 constexpr milliseconds shortest_down{100};
 constexpr milliseconds longest_down{1500};
 constexpr milliseconds storm_gap{100};
+constexpr milliseconds least_gap{100};
 constexpr int storm_length = 6;
 constexpr std::uint64_t longest_series = 3;
 constexpr milliseconds series_gap{700};
 /// A host that starts needs this long until it serves.
 constexpr milliseconds start_time{1000};
-constexpr std::uint64_t odds_of_one = 3;
+/// Gaps between series are drawn from none to twice the mean.
+constexpr std::uint64_t longest_gap = 3;
 /// Chance of trouble at an engine that has it, in percent.
 constexpr std::uint64_t trouble_percent = 30;
 constexpr std::uint64_t reset_percent = 60;
@@ -28,6 +30,16 @@
 
 using world = soak_traffic::world;
 
+template <class Value>
+struct named {
+    std::string name;
+    Value value;
+};
+
+engine_stand_in& any_engine(world& all) {
+    return *all.engines[all.random(all.engines.size())];
+}
+
 } // namespace
 
 fault_series::fault_series(soak_plan plan)
@@ -58,117 +70,124 @@
     return least + milliseconds(m_random(static_cast<std::uint64_t>((most - least).count())));
 }
 
+void fault_series::add(std::string name, std::function<void(duration)> strike) {
+    m_kinds.push_back({std::move(name), false, std::move(strike)});
+}
+
+void fault_series::add_planned(std::string name, std::function<void()> strike) {
+    m_kinds.push_back({std::move(name), true, [strike = std::move(strike)](duration) { strike(); }});
+}
+
 void fault_series::add_operator_work() {
-    m_kinds.push_back(
-        {"configuration", true, [this](duration) { m_traffic->post([](world& all) { all.configure(); }); }});
-    m_kinds.push_back({"configuration_storm", true, [this](duration) {
-                           for (int change = 0; change < storm_length; ++change) {
-                               m_kernel->post_control_after(storm_gap * change, [this] {
-                                   m_traffic->post([](world& all) { all.configure(); });
-                               });
-                           }
-                       }});
-    m_kinds.push_back({"host_reload", true, [this](duration) { m_hosts->reload(any_host()); }});
-    m_kinds.push_back({"host_stop", true, [this](duration) { m_hosts->terminate(any_host()); }});
-    m_kinds.push_back({"engine_leaves", true, [this](duration) {
-                           m_traffic->post([this](world& all) {
-                               engine_stand_in& leaving = *all.engines[all.random(all.engines.size())];
-                               leaving.leave();
-                               replace_engine(leaving.plan());
-                           });
-                       }});
+    add_planned("configuration", [this] { configure(); });
+    add_planned("configuration_storm", [this] {
+        for (int change = 0; change < storm_length; ++change) {
+            m_kernel->post_control_after(storm_gap * change, [this] { configure(); });
+        }
+    });
+    add_planned("host_reload", [this] { m_hosts->reload(any_host()); });
+    add_planned("host_stop", [this] { m_hosts->terminate(any_host()); });
+    add_planned("engine_leaves", [this] {
+        m_traffic->post([this](world& all) {
+            engine_stand_in& leaving = any_engine(all);
+            leaving.leave();
+            replace_engine(leaving.plan());
+        });
+    });
+}
+
+void fault_series::configure() {
+    m_traffic->post([](world& all) { all.configure(); });
 }
 
 void fault_series::add_host_faults() {
-    m_kinds.push_back({"host_kill", false, [this](duration) {
-                           m_hosts->kill(any_host(), between(shortest_down, longest_down));
-                       }});
-    m_kinds.push_back({"all_hosts_kill", false, [this](duration) {
-                           for (std::size_t host = 0; host < m_plan.entry_hosts; ++host) {
-                               m_hosts->kill(host, between(shortest_down, longest_down));
-                           }
-                       }});
-    m_kinds.push_back({"host_pause", false, [this](duration lasts) { m_hosts->pause(any_host(), lasts); }});
+    add("host_kill", [this](duration) { m_hosts->kill(any_host(), between(shortest_down, longest_down)); });
+    add("all_hosts_kill", [this](duration) {
+        for (std::size_t host = 0; host < m_plan.entry_hosts; ++host) {
+            m_hosts->kill(host, between(shortest_down, longest_down));
+        }
+    });
+    add("host_pause", [this](duration lasts) { m_hosts->pause(any_host(), lasts); });
 }
 
 void fault_series::add_link_faults() {
-    using links = std::vector<std::unique_ptr<bench::relay_link>>;
-    const std::vector<std::pair<std::string, std::function<links&(world&)>>> places = {
+    const std::vector<named<links_of>> places = {
         {"caller_link", [](world& all) -> links& { return all.caller_links; }},
         {"store_link", [](world& all) -> links& { return all.store_links; }},
         {"engine_link", [](world& all) -> links& { return all.engine_links; }}};
-    const std::vector<std::pair<std::string, bench::link_condition>> conditions = {
-        {"slow", {milliseconds(150), false, false, false}},
-        {"refuses", {{}, true, false, false}},
-        {"silent", {{}, false, true, true}},
-        {"loses_requests", {{}, false, true, false}},
-        {"loses_answers", {{}, false, false, true}}};
-    for (const auto& [place, of] : places) {
-        for (const auto& [what, condition] : conditions) {
-            m_kinds.push_back({place + "_" + what, false, [this, of, condition](duration lasts) {
-                                   m_traffic->post([of, condition, lasts](world& all) {
-                                       bench::relay_link* link = of(all)[all.random(of(all).size())].get();
-                                       link->set(condition);
-                                       start_timer(all.context, lasts, [link] { link->set({}); });
-                                   });
-                               }});
+    const std::vector<named<bench::link_condition>> conditions = {
+        {"_slow", {milliseconds(150), false, false, false}},
+        {"_refuses", {{}, true, false, false}},
+        {"_silent", {{}, false, true, true}},
+        {"_loses_requests", {{}, false, true, false}},
+        {"_loses_answers", {{}, false, false, true}}};
+    for (const named<links_of>& place : places) {
+        for (const named<bench::link_condition>& condition : conditions) {
+            add(place.name + condition.name, disturb_link(place.value, condition.value));
         }
-        m_kinds.push_back({place + "_resets", false, [this, of](duration) {
-                               m_traffic->post([of](world& all) {
-                                   of(all)[all.random(of(all).size())]->reset_connections(reset_percent,
-                                                                                          all.random);
-                               });
-                           }});
+        add(place.name + "_resets", [this, of = place.value](duration) {
+            m_traffic->post([of](world& all) {
+                of(all)[all.random(of(all).size())]->reset_connections(reset_percent, all.random);
+            });
+        });
     }
 }
 
+std::function<void(duration)> fault_series::disturb_link(links_of of, bench::link_condition condition) {
+    return [this, of = std::move(of), condition](duration lasts) {
+        m_traffic->post([of, condition, lasts](world& all) {
+            bench::relay_link* link = of(all)[all.random(of(all).size())].get();
+            link->set(condition);
+            start_timer(all.context, lasts, [link] { link->set({}); });
+        });
+    };
+}
+
 void fault_series::add_store_faults() {
-    const std::vector<std::pair<std::string, store_condition>> conditions = {
-        {"resets", {store_answers::resets, {}, 0}},
-        {"silent", {store_answers::silence, {}, 0}},
-        {"busy", {store_answers::busy, {}, 0}},
-        {"rate_limited", {store_answers::rate_limited, {}, 0}},
-        {"slow", {store_answers::normal, milliseconds(400), 0}},
-        {"loses_answers", {store_answers::normal, {}, trouble_percent}}};
-    for (const auto& [what, condition] : conditions) {
-        m_kinds.push_back({"store_" + what, false, [this, condition](duration lasts) {
-                               m_traffic->post([condition, lasts](world& all) {
-                                   all.store.set(condition);
-                                   start_timer(all.context, lasts, [&all] { all.store.set({}); });
-                               });
-                           }});
+    const std::vector<named<store_condition>> conditions = {
+        {"store_resets", {store_answers::resets, {}, 0}},
+        {"store_silent", {store_answers::silence, {}, 0}},
+        {"store_busy", {store_answers::busy, {}, 0}},
+        {"store_rate_limited", {store_answers::rate_limited, {}, 0}},
+        {"store_slow", {store_answers::normal, milliseconds(400), 0}},
+        {"store_loses_answers", {store_answers::normal, {}, trouble_percent}}};
+    for (const named<store_condition>& each : conditions) {
+        add(each.name, [this, condition = each.value](duration lasts) {
+            m_traffic->post([condition, lasts](world& all) {
+                all.store.set(condition);
+                start_timer(all.context, lasts, [&all] { all.store.set({}); });
+            });
+        });
     }
-    m_kinds.push_back({"store_forgets", false, [this](duration) {
-                           m_traffic->post([](world& all) { all.store.forget_history(); });
-                       }});
+    add("store_forgets",
+        [this](duration) { m_traffic->post([](world& all) { all.store.forget_history(); }); });
 }
 
 void fault_series::add_engine_faults() {
-    const std::vector<std::pair<std::string, engine_condition>> conditions = {
-        {"refuses", {trouble_percent, 0, 0, 0, 0, 0, 1}},
-        {"fails", {0, trouble_percent, 0, 0, 0, 0, 1}},
-        {"loses_answers", {0, 0, trouble_percent, 0, 0, 0, 1}},
-        {"breaks_events", {0, 0, 0, trouble_percent / 4, 0, 0, 1}},
-        {"answers_foreign", {0, 0, 0, 0, trouble_percent, 0, 1}},
-        {"hangs", {0, 0, 0, 0, 0, trouble_percent, 1}},
-        {"slow", {0, 0, 0, 0, 0, 0, 5}}};
-    for (const auto& [what, condition] : conditions) {
-        m_kinds.push_back({"engine_" + what, false, [this, condition](duration lasts) {
-                               m_traffic->post([condition, lasts](world& all) {
-                                   engine_stand_in* engine =
-                                       all.engines[all.random(all.engines.size())].get();
-                                   engine->set(condition);
-                                   start_timer(all.context, lasts, [engine] { engine->set({}); });
-                               });
-                           }});
+    const std::vector<named<engine_condition>> conditions = {
+        {"engine_refuses", {trouble_percent, 0, 0, 0, 0, 0, 1}},
+        {"engine_fails", {0, trouble_percent, 0, 0, 0, 0, 1}},
+        {"engine_loses_answers", {0, 0, trouble_percent, 0, 0, 0, 1}},
+        {"engine_breaks_events", {0, 0, 0, trouble_percent / 4, 0, 0, 1}},
+        {"engine_answers_foreign", {0, 0, 0, 0, trouble_percent, 0, 1}},
+        {"engine_hangs", {0, 0, 0, 0, 0, trouble_percent, 1}},
+        {"engine_slow", {0, 0, 0, 0, 0, 0, 5}}};
+    for (const named<engine_condition>& each : conditions) {
+        add(each.name, [this, condition = each.value](duration lasts) {
+            m_traffic->post([condition, lasts](world& all) {
+                engine_stand_in* engine = &any_engine(all);
+                engine->set(condition);
+                start_timer(all.context, lasts, [engine] { engine->set({}); });
+            });
+        });
     }
-    m_kinds.push_back({"engine_crash", false, [this](duration) {
-                           m_traffic->post([this](world& all) {
-                               engine_stand_in& lost = *all.engines[all.random(all.engines.size())];
-                               lost.crash();
-                               replace_engine(lost.plan());
-                           });
-                       }});
+    add("engine_crash", [this](duration) {
+        m_traffic->post([this](world& all) {
+            engine_stand_in& lost = any_engine(all);
+            lost.crash();
+            replace_engine(lost.plan());
+        });
+    });
 }
 
 void fault_series::replace_engine(const engine_plan& lost) {
@@ -189,7 +208,7 @@
 }
 
 void fault_series::draw_next() {
-    const duration gap = mean_gap(m_plan.mix) * static_cast<int>(m_random(odds_of_one)) / 1;
+    const duration gap = mean_gap(m_plan.mix) * static_cast<int>(m_random(longest_gap));
     const time_point now = std::chrono::steady_clock::now();
     const duration last_start = m_plan.faults_for - longest_fault;
     if (now - m_began > last_start) {
@@ -200,7 +219,7 @@
     for (std::uint64_t turn = 0; turn < times; ++turn) {
         m_kernel->post_control_after(series_gap * static_cast<int>(turn), [this, &kind] { strike(kind); });
     }
-    m_kernel->post_control_after(gap + storm_gap, [this] { draw_next(); });
+    m_kernel->post_control_after(gap + least_gap, [this] { draw_next(); });
 }
 
 void fault_series::strike(const fault_kind& kind) {
--- a/soak/fault_series.hpp
+++ b/soak/fault_series.hpp
@@ -37,6 +37,13 @@
     [[nodiscard]] std::vector<std::string> struck() const { return m_struck; }
 
   private:
+    using links = std::vector<std::unique_ptr<bench::relay_link>>;
+    using links_of = std::function<links&(soak_traffic::world&)>;
+
+    void add(std::string name, std::function<void(duration)> strike);
+    void add_planned(std::string name, std::function<void()> strike);
+    [[nodiscard]] std::function<void(duration)> disturb_link(links_of of, bench::link_condition condition);
+    void configure();
     void add_host_faults();
     void add_link_faults();
     void add_store_faults();
