Let watches and cache questions follow the bounds of the deployment

Hosts asked for changes of the engines again 250 ms after each change, whatever the bounds, and an engine that holds as many questions as it can was asked with a wait after every answered poll, so that each such pair of host and engine cost two probes a second.

Change: changes are collected for a quarter of the bound within which they have to be known (settings drain_ms and config_apply_ms). An engine that refused a question is polled five times, once a second, before one waits there again. Settings that can't be read are logged once a reason also when nobody asked for a reload.

--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -9,8 +9,6 @@
 
 namespace parsleypitch {
 
-/// @brief Pause after a watch that reported changes, so that changes in quick succession share one call.
-inline constexpr milliseconds collect_time{250};
 inline constexpr milliseconds first_retry_delay{100};
 inline constexpr milliseconds longest_retry_delay{1000};
 
@@ -20,6 +18,8 @@
     /// allowance of the client for an answer, which must stay below the time within which changes have to be
     /// known.
     milliseconds watch_wait{2000};
+    /// @brief Pause after a watch that reported changes, so that changes in quick succession share one call.
+    milliseconds collect_time{250};
     std::function<void(std::vector<directory_object> all, object_version as_of)> listed;
     std::function<void(const object_event_batch& batch)> changed;
     /// @brief A call failed, after which the watcher tries again.
--- a/include/parsleypitch/forwarding/cache_follower.hpp
+++ b/include/parsleypitch/forwarding/cache_follower.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/forwarding/forwarder.hpp>
 
+#include <map>
 #include <set>
 
 namespace parsleypitch {
@@ -10,6 +11,11 @@
 inline constexpr milliseconds cache_query_period{500};
 /// @brief How long an engine may hold a question until its cache changes.
 inline constexpr milliseconds cache_query_wait{1000};
+/// @brief An engine that holds as many questions as it can is asked this many times without a wait before a
+/// question may wait there again.
+inline constexpr unsigned polls_after_refusal = 5;
+/// @brief Time between these questions, each of which is answered at once.
+inline constexpr milliseconds cache_poll_period{1000};
 /// @brief Time to answer besides the wait.
 inline constexpr milliseconds cache_query_allowance{1000};
 
@@ -31,8 +37,8 @@
 
     std::shared_ptr<forwarder::state> m_shared;
     std::set<backend_server_id> m_followed;
-    /// Servers whose last question failed.
-    std::set<backend_server_id> m_refused;
+    /// Servers that refused a question, with the questions without a wait that are left.
+    std::map<backend_server_id, unsigned> m_polls_left;
 };
 
 } // namespace parsleypitch
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -43,6 +43,8 @@
     void apply_settings(const std::string& cause, bool log_unchanged);
 
     serve_settings m_settings;
+    /// Why the settings could not be read the last time; empty if they could.
+    std::string m_settings_refusal;
     platform_adapter m_adapter;
     kernel* m_kernel = nullptr;
     std::shared_ptr<event_log> m_log;
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -60,7 +60,7 @@
         watch();
         return;
     }
-    m_hooks.schedule(collect_time, [self = shared_from_this()] {
+    m_hooks.schedule(m_hooks.collect_time, [self = shared_from_this()] {
         if (!self->m_stopped) {
             self->watch();
         }
--- a/src/forwarding/cache_follower.cpp
+++ b/src/forwarding/cache_follower.cpp
@@ -30,7 +30,7 @@
     };
     const auto state = std::make_shared<question>();
     // An engine holds few questions at a time; one that it can't hold is answered at once.
-    const milliseconds wait = m_refused.contains(id) ? milliseconds(0) : cache_query_wait;
+    const milliseconds wait = m_polls_left.contains(id) ? milliseconds(0) : cache_query_wait;
     http::request message = m_shared->protocol.encode_cache_query(server->cache_next, wait);
     message.headers.set("Host", server->entry.address.str());
     http::call_hooks hooks;
@@ -62,7 +62,8 @@
 }
 
 void cache_follower::ask_later(const backend_server_id& id) {
-    m_shared->hooks.start_timer(cache_query_period, [self = shared_from_this(), id] { self->ask(id); });
+    const milliseconds period = m_polls_left.contains(id) ? cache_poll_period : cache_query_period;
+    m_shared->hooks.start_timer(period, [self = shared_from_this(), id] { self->ask(id); });
 }
 
 void cache_follower::on_answer(const backend_server_id& id, const std::string& body) {
@@ -75,13 +76,15 @@
         m_shared->count("parsleypitch_cache_report_gaps_total", {});
     }
     m_shared->count("parsleypitch_cache_queries_total", {{"result", "answered"}});
-    m_refused.erase(id);
+    if (const auto polled = m_polls_left.find(id); polled != m_polls_left.end() && --polled->second == 0) {
+        m_polls_left.erase(polled);
+    }
     m_shared->pool.note_cache_report(id, report.value());
 }
 
 void cache_follower::on_refused(const backend_server_id& id, const std::string& reason) {
     m_shared->count("parsleypitch_cache_queries_total", {{"result", reason}});
-    if (m_refused.insert(id).second) {
+    if (m_polls_left.insert_or_assign(id, polls_after_refusal).second) {
         m_shared->log->warning("cache_query_failed", {{"server", id}, {"reason", reason}});
     }
 }
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -9,6 +9,8 @@
 /// Part of the contact time that is left for the answer to a watch and for a new connection.
 constexpr milliseconds watch_reserve{1000};
 constexpr milliseconds settings_check_period{1000};
+/// Part of the time within which a change has to be known that may pass while changes are collected.
+constexpr int collect_part = 4;
 
 const std::string servers_kind = "backend_servers";
 const std::string configurations_kind = "configurations";
@@ -67,6 +69,8 @@
 watcher_hooks serving_directory::hooks_for(kernel& host, const std::string& kind) {
     watcher_hooks hooks;
     hooks.watch_wait = std::chrono::duration_cast<milliseconds>(m_settings.store_contact - watch_reserve);
+    const duration bound = kind == servers_kind ? m_settings.leave_bound : m_settings.config_bound;
+    hooks.collect_time = std::chrono::duration_cast<milliseconds>(bound / collect_part);
     hooks.failed = [this, kind](const error& why, duration) {
         contact(kind, false, to_string(why));
         if (kind == servers_kind) {
@@ -203,11 +207,14 @@
 void serving_directory::apply_settings(const std::string& cause, bool log_unchanged) {
     const auto loaded = m_adapter.load_settings();
     if (!loaded) {
-        if (log_unchanged) {
-            m_log->warning("settings_refused", {{"cause", cause}, {"reason", to_string(loaded.error())}});
+        // The check repeats every second; one line a reason is enough.
+        const std::string reason = to_string(loaded.error());
+        if (std::exchange(m_settings_refusal, reason) != reason || log_unchanged) {
+            m_log->warning("settings_refused", {{"cause", cause}, {"reason", reason}});
         }
         return;
     }
+    m_settings_refusal.clear();
     const bool changed = !(loaded.value() == m_settings);
     if (changed || log_unchanged) {
         m_log->info("settings_reloaded", {{"cause", cause}, {"changed", changed}});
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -77,6 +77,7 @@
             auto made = std::make_shared<recorded_call>();
             *made = {to, std::move(bytes), options, std::move(call)};
             if (made->has("/cache")) {
+                m_cache_questions.push_back(made);
                 return http::call_handle([] {});
             }
             m_calls.push_back(made);
@@ -158,8 +159,8 @@
         p.encode_release = [](const kv_handle_id& handle) {
             return http::request{"DELETE", "/release/" + handle.str(), {}, "", true};
         };
-        p.encode_cache_query = [](cache_position, milliseconds) {
-            return http::request{"GET", "/cache", {}, "", true};
+        p.encode_cache_query = [](cache_position, milliseconds wait) {
+            return http::request{"GET", "/cache", {{"wait", std::to_string(wait.count())}}, "", true};
         };
         p.decode_cache_report = [](const std::string&) -> result<cache_report> { return cache_report{}; };
         p.mark_answer = [](const request_id& id, http::response_head& head) {
@@ -310,6 +311,8 @@
     forwarding_policy m_policy;
     std::vector<std::shared_ptr<manual_timer>> m_timers;
     std::vector<std::shared_ptr<recorded_call>> m_calls;
+    /// Questions for the changes of caches, apart from the calls for requests.
+    std::vector<std::shared_ptr<recorded_call>> m_cache_questions;
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<metrics_registry> m_metrics;
     std::unique_ptr<forwarder> m_forwarder;
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forwarder_harness.hpp"
 
+#include <parsleypitch/forwarding/cache_follower.hpp>
+
 namespace parsleypitch {
 
 class forwarder_fixture : public forwarder_harness {};
@@ -365,6 +367,47 @@
     EXPECT_EQ(send("/once/1")->status, 503U);
 }
 
+/// Questions to the engines for the changes of their caches.
+class cache_question_fixture : public forwarder_harness {
+  protected:
+    void SetUp() override {
+        forwarder_harness::SetUp();
+        adopt_fleet();
+    }
+    /// Answers the last question to an engine.
+    void answer_question(const std::string& engine, unsigned status) {
+        const auto asked =
+            std::find_if(m_cache_questions.rbegin(), m_cache_questions.rend(),
+                         [&engine](const auto& each) { return each->to == endpoint(engine + ":1"); });
+        ASSERT_NE(asked, m_cache_questions.rend());
+        http::response_head head;
+        head.status = status;
+        const auto question = *asked; // asking again changes the list
+        question->hooks.head(head);
+        question->hooks.end();
+    }
+    [[nodiscard]] std::size_t asked(const std::string& engine, bool waiting) const {
+        return static_cast<std::size_t>(
+            std::count_if(m_cache_questions.begin(), m_cache_questions.end(), [&](const auto& each) {
+                return each->to == endpoint(engine + ":1") && each->has("wait: 0") != waiting;
+            }));
+    }
+};
+
+// Guards against questions that are refused again and again by an engine which holds as many as it can.
+TEST_F(cache_question_fixture, refused_question_is_asked_without_wait_before_one_waits_again) {
+    ASSERT_EQ(asked("d1", true), 1U);
+    answer_question("d1", 429);
+    for (unsigned polls = 1; polls <= polls_after_refusal; ++polls) {
+        pass(cache_poll_period);
+        EXPECT_EQ(asked("d1", false), polls);
+        EXPECT_EQ(asked("d1", true), 1U);
+        answer_question("d1", 200);
+    }
+    pass(cache_query_period);
+    EXPECT_EQ(asked("d1", true), 2U);
+}
+
 class prefill_forwarder_fixture : public forwarder_harness {
   protected:
     void SetUp() override {
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -30,6 +30,7 @@
             m_scheduled = std::move(task);
         };
         hooks.random = [](std::uint64_t bound) { return bound - 1; };
+        hooks.collect_time = m_collect_time;
         m_watcher = std::make_shared<kind_watcher>(std::move(source), std::move(hooks));
         m_watcher->start();
     }
@@ -47,6 +48,7 @@
     void answer(result<object_event_batch> batch) { std::exchange(m_events, nullptr)(std::move(batch)); }
     void run_scheduled() { std::exchange(m_scheduled, nullptr)(); }
 
+    const milliseconds m_collect_time{400};
     std::shared_ptr<kind_watcher> m_watcher;
     page_callback m_page;
     event_callback m_events;
@@ -72,7 +74,7 @@
 TEST_F(kind_watcher_fixture, watch_continues_from_the_revision_of_its_last_answer) {
     answer(page({}, false, 7));
     answer(object_event_batch{{{{object_key("a"), object_version(8), "{}"}, false}}, object_version(8)});
-    EXPECT_EQ(m_delays, std::vector<duration>{collect_time});
+    EXPECT_EQ(m_delays, std::vector<duration>{m_collect_time});
     run_scheduled();
     answer(object_event_batch{{}, object_version(11)});
     EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 8, 11}));
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -270,7 +270,8 @@
   protected:
     const std::string m_text =
         R"({"node":"edge-1","zone":"z","ip":"10.1.0.38","listen":{"front":"10.1.0.38:1","ready":"10.1.0.38:2"},)"
-        R"("internal_ports":[7380,7395],"bounds":{"retry_budget_ratio":0.3,"retry_budget_slack":58,"grace_s":8},)"
+        R"("internal_ports":[7380,7395],"bounds":{"retry_budget_ratio":0.3,"retry_budget_slack":58,"grace_s":8,)"
+        R"("drain_ms":1200,"config_apply_ms":1600},)"
         R"("platform":{"address":"10.200.1.7:8142"},"unknown":[1]})";
 };
 
@@ -286,6 +287,8 @@
     EXPECT_EQ(settings.value().store, endpoint("10.200.1.7:8142"));
     EXPECT_DOUBLE_EQ(settings.value().retry_ratio, 0.3);
     EXPECT_EQ(settings.value().stop_grace, seconds(8));
+    EXPECT_EQ(settings.value().leave_bound, milliseconds(1200));
+    EXPECT_EQ(settings.value().config_bound, milliseconds(1600));
 }
 
 // Guards against a start with half of the settings, without a word about what is missing.
