Pass on the events before a gap, and play all pairs of engine faults

Cause: the fault matrix covered the product's own path; the forwarder's failures were tested one by one. A test that plays every pair of 16 engine faults on the first two sends, on five kinds of route, with and without prefill engines, found a lost event: when one read brought a sound event and a gap behind it, the sound event counted as sent but was never written, and the stream resumed after it.

Ruled out: the resuming engine (it was told the event before the gap), and the harness for this one. The harness itself asked the wrong call whether it was over when an answer led to a release; it now keeps the call that it answers.

Change: events before a gap are passed on before the attempt fails. unit-forwarder-faults compares each of about 2,000 cases with what the engines know: one answer, no second run, no false refusal, a time to come back, whole events in order, no send left over, also when the caller leaves at any step.

--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -54,6 +54,7 @@
     void on_silence();
     void on_prefill_end();
     void on_stream_part(const std::string& part);
+    void pass_on(const std::string& events);
 
     // Ends
     void settle(std::optional<attempt_result> result);
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -32,15 +32,15 @@
 
 void forwarded_request::on_stream_part(const std::string& part) {
     std::string out;
+    std::optional<error> gap;
     for (stream_event& event : m_events.feed(part)) {
         if (event.id && m_last_event && *event.id <= *m_last_event) {
             continue; // sent by an earlier attempt
         }
         if (event.id && m_last_event && *event.id != m_last_event->next()) {
-            m_attempt->call.cancel();
-            on_failed(fail(errc::stream_gap, "event " + std::to_string(event.id->value()) + " after " +
-                                                 std::to_string(m_last_event->value())));
-            return;
+            gap = fail(errc::stream_gap, "event " + std::to_string(event.id->value()) + " after " +
+                                             std::to_string(m_last_event->value()));
+            break;
         }
         if (event.id) {
             m_last_event = event.id;
@@ -51,9 +51,17 @@
         }
         out.append(event.bytes);
     }
-    if (out.empty()) {
-        return;
+    if (!out.empty()) {
+        pass_on(out);
+    }
+    // What came before the gap counts as sent, so it has to be passed on first.
+    if (gap) {
+        m_attempt->call.cancel();
+        on_failed(*gap);
     }
+}
+
+void forwarded_request::pass_on(const std::string& events) {
     if (!m_first_event_after) {
         m_first_event_after = elapsed();
         const double took = detail::to_ms(now() - m_attempt->started);
@@ -73,7 +81,7 @@
         http::remove_hop_by_hop(head.headers, {});
         m_exchange->begin(head);
     }
-    m_exchange->write(out);
+    m_exchange->write(events);
     if (m_route->resumable) {
         arm_patience(m_shared->policy.event_patience);
     }
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -256,12 +256,13 @@
     /// Answers the newest send with a whole response.
     void answer(unsigned status, const std::vector<http::header_field>& extra, const std::string& body) {
         const http::call_hooks hooks = call().hooks;
+        const auto sent = m_calls.back(); // the answer may lead to further sends
         hooks.head(head(status, extra));
-        if (!body.empty() && !m_calls.back()->over) {
+        if (!body.empty() && !sent->over) {
             hooks.body(body);
         }
-        if (!m_calls.back()->over) {
-            m_calls.back()->over = true;
+        if (!sent->over) {
+            sent->over = true;
             hooks.end();
         }
     }
