--- a/soak/soak_plan.hpp
+++ b/soak/soak_plan.hpp
@@ -32,7 +32,7 @@
     std::string program;
     /// @brief Folder for settings and logs of the processes.
     std::string folder;
-    /// @brief First two numbers after 127 of the loopback addresses, distinct for each run at a time.
+    /// @brief Number of the block of loopback addresses, distinct for each run at a time.
     unsigned network = 1;
 };
 
--- a/soak/soak_traffic.cpp
+++ b/soak/soak_traffic.cpp
@@ -13,18 +13,14 @@
 using nlohmann::json;
 namespace names = platform::names;
 
-// Ports and last parts of addresses; every run has a network of its own.
 constexpr unsigned callers_port = 8149;
 constexpr unsigned readiness_port = 8141;
 constexpr unsigned store_port = 8142;
 constexpr unsigned engine_port = 8080;
-constexpr unsigned store_number = 1;
-constexpr unsigned first_host = 10;
-constexpr unsigned first_host_link = 50;
-constexpr unsigned first_engine = 100;
-constexpr unsigned engines_per_port = 100;
 constexpr unsigned link_port_distance = 1000;
-constexpr unsigned networks_per_number = 250;
+// A run has a block of addresses 127.A.B.1 to 127.A.B+3.250; those of its number repeat after 250 x 50 runs.
+constexpr unsigned numbers_per_part = 250;
+constexpr unsigned blocks_per_part = 50;
 constexpr std::size_t zones = 2;
 
 const backend_service_id& model_service() {
@@ -72,13 +68,15 @@
     return availability_zone_id(number % zones == 0 ? "north" : "south");
 }
 
-std::string soak_network::ip(unsigned last) const {
-    return "127." + std::to_string(1 + m_number / networks_per_number % networks_per_number) + "." +
-           std::to_string(m_number % networks_per_number) + "." + std::to_string(last);
+std::string soak_network::ip(group of, std::size_t number) const {
+    const unsigned block = m_number / numbers_per_part % blocks_per_part;
+    const unsigned third = block * static_cast<unsigned>(group::count) + static_cast<unsigned>(of);
+    return "127." + std::to_string(1 + m_number % numbers_per_part) + "." + std::to_string(third) + "." +
+           std::to_string(1 + number % numbers_per_part);
 }
 
 std::string soak_network::host_ip(std::size_t host) const {
-    return ip(first_host + static_cast<unsigned>(host));
+    return ip(group::hosts, host);
 }
 
 endpoint soak_network::host_callers(std::size_t host) const {
@@ -90,25 +88,25 @@
 }
 
 endpoint soak_network::host_link(std::size_t host) const {
-    return at(ip(first_host_link + static_cast<unsigned>(host)), callers_port);
+    return at(ip(group::host_links, host), callers_port);
 }
 
 endpoint soak_network::store() const {
-    return at(ip(store_number), store_port);
+    return at(ip(group::store, 0), store_port);
 }
 
 endpoint soak_network::store_link(std::size_t host) const {
-    return at(ip(first_host_link + static_cast<unsigned>(host)), store_port);
+    return at(ip(group::host_links, host), store_port);
 }
 
 endpoint soak_network::engine(std::size_t engine) const {
-    return at(ip(first_engine + static_cast<unsigned>(engine) % engines_per_port),
-              engine_port + static_cast<unsigned>(engine) / engines_per_port);
+    const auto turn = static_cast<unsigned>(engine / numbers_per_part);
+    return at(ip(group::engines, engine), engine_port + turn);
 }
 
 endpoint soak_network::engine_link(std::size_t engine) const {
-    return at(ip(first_engine + static_cast<unsigned>(engine) % engines_per_port),
-              engine_port + link_port_distance + static_cast<unsigned>(engine) / engines_per_port);
+    const auto turn = static_cast<unsigned>(engine / numbers_per_part);
+    return at(ip(group::engines, engine), engine_port + link_port_distance + turn);
 }
 
 soak_traffic::world::world(const soak_plan& plan)
--- a/soak/soak_traffic.hpp
+++ b/soak/soak_traffic.hpp
@@ -33,7 +33,9 @@
     [[nodiscard]] endpoint engine_link(std::size_t engine) const;
 
   private:
-    [[nodiscard]] std::string ip(unsigned last) const;
+    enum class group : unsigned { store, hosts, host_links, engines, count };
+
+    [[nodiscard]] std::string ip(group of, std::size_t number) const;
 
     unsigned m_number;
 };
