Share the answers of the soak's stand-ins

Ruled out: putting it into http/, which has no use for it.

Change: soak/stand_in_answers.hpp.

Conclusion: one copy.

--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -1,9 +1,9 @@
 #include "engine_stand_in.hpp"
 
 #include "names.hpp"
+#include "stand_in_answers.hpp"
 
 #include <parsleypitch/core/timer.hpp>
-#include <parsleypitch/http/server.hpp>
 
 #include <set>
 
@@ -12,7 +12,6 @@
 namespace {
 
 using nlohmann::json;
-using exchange_ptr = std::shared_ptr<http::exchange>;
 namespace names = platform::names;
 
 constexpr milliseconds heartbeat_period{1200};
@@ -37,14 +36,6 @@
     return value == nullptr ? "" : *value;
 }
 
-void answer(const exchange_ptr& to, unsigned status, std::string body, http::header_list headers = {}) {
-    http::response made;
-    made.head.status = status;
-    made.head.headers = std::move(headers);
-    made.body = std::move(body);
-    to->respond(std::move(made));
-}
-
 void refuse(const exchange_ptr& to, unsigned status) {
     answer(to, status, "", {{std::string(names::not_executed), "1"}});
 }
@@ -89,12 +80,7 @@
     state(asio::io_context& io, engine_plan of, engine_surroundings around)
         : context(&io), plan(std::move(of)), surroundings(std::move(around)),
           listener(
-              io, [this](const exchange_ptr& call) { receive(call); },
-              [](http::parse_fault) {
-                  http::response refused;
-                  refused.head.status = status_malformed;
-                  return refused;
-              }) {}
+              io, [this](const exchange_ptr& call) { receive(call); }, malformed_message_answer) {}
 
     [[nodiscard]] bool chance(std::uint64_t percent) const {
         return percent > 0 && surroundings.random(percent_whole) < percent;
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -1,9 +1,9 @@
 #include "store_stand_in.hpp"
 
 #include "names.hpp"
+#include "stand_in_answers.hpp"
 
 #include <parsleypitch/core/timer.hpp>
-#include <parsleypitch/http/server.hpp>
 
 #include <deque>
 #include <list>
@@ -15,7 +15,6 @@
 namespace {
 
 using nlohmann::json;
-using exchange_ptr = std::shared_ptr<http::exchange>;
 namespace names = platform::names;
 
 /// Small enough that every list takes several pages.
@@ -32,12 +31,8 @@
 constexpr unsigned status_rate_limited = 429;
 constexpr unsigned status_busy = 503;
 
-void answer(const exchange_ptr& to, unsigned status, const json& body) {
-    http::response made;
-    made.head.status = status;
-    made.head.headers.add("Content-Type", "application/json");
-    made.body = body.dump();
-    to->respond(std::move(made));
+void answer_json(const exchange_ptr& to, unsigned status, const json& body) {
+    answer(to, status, body.dump(), {{"Content-Type", "application/json"}});
 }
 
 /// The parts of a target: kind, name (may be empty) and query.
@@ -92,12 +87,7 @@
     state(asio::io_context& io, endpoint at, random_hook draws)
         : context(&io), listen(std::move(at)), random(std::move(draws)),
           listener(
-              io, [this](const exchange_ptr& call) { receive(call); },
-              [](http::parse_fault) {
-                  http::response refused;
-                  refused.head.status = status_malformed;
-                  return refused;
-              }) {}
+              io, [this](const exchange_ptr& call) { receive(call); }, malformed_message_answer) {}
 
     void receive(const exchange_ptr& call) {
         ++calls;
@@ -109,10 +99,10 @@
             unanswered.push_back(call);
             return;
         case store_answers::busy:
-            answer(call, status_busy, json::object());
+            answer_json(call, status_busy, json::object());
             return;
         case store_answers::rate_limited:
-            answer(call, status_rate_limited, json::object());
+            answer_json(call, status_rate_limited, json::object());
             return;
         case store_answers::normal:
             break;
@@ -143,9 +133,9 @@
             const auto& of_kind = objects[target.kind];
             const auto found = of_kind.find(target.name);
             if (found == of_kind.end()) {
-                answer(call, status_missing, json::object());
+                answer_json(call, status_missing, json::object());
             } else {
-                answer(call, status_ok, encode(found->first, found->second));
+                answer_json(call, status_ok, encode(found->first, found->second));
             }
         } else if (const auto from = target.number("watch")) {
             watch(call, target, object_version(*from));
@@ -163,17 +153,17 @@
         for (; at != of_kind.end() && items.size() < page_size; ++at) {
             items.push_back(encode(at->first, at->second));
         }
-        answer(call, status_ok,
-               {{"items", items}, {"has_more", at != of_kind.end()}, {"as_of", newest.value()}});
+        answer_json(call, status_ok,
+                    {{"items", items}, {"has_more", at != of_kind.end()}, {"as_of", newest.value()}});
     }
 
     void watch(const exchange_ptr& call, const object_target& target, object_version from) {
         if (from < forgotten) {
-            answer(call, status_history_gone, json::object());
+            answer_json(call, status_history_gone, json::object());
             return;
         }
         if (json events = events_after(target.kind, from); !events.empty()) {
-            answer(call, status_ok, {{"events", std::move(events)}, {"as_of", newest.value()}});
+            answer_json(call, status_ok, {{"events", std::move(events)}, {"as_of", newest.value()}});
             return;
         }
         const milliseconds wait(target.number("wait_ms").value_or(0));
@@ -183,8 +173,8 @@
 
     void end_watch(std::list<waiting_watch>::iterator which) {
         which->cancel();
-        answer(which->exchange, status_ok,
-               {{"events", events_after(which->kind, which->after)}, {"as_of", newest.value()}});
+        answer_json(which->exchange, status_ok,
+                    {{"events", events_after(which->kind, which->after)}, {"as_of", newest.value()}});
         watches.erase(which);
     }
 
@@ -200,7 +190,7 @@
 
     void write(const exchange_ptr& call, const object_target& target) {
         const auto [status, body] = apply(call->message(), target);
-        answer(call, status, body);
+        answer_json(call, status, body);
     }
 
     std::pair<unsigned, json> apply(const http::request& message, const object_target& target) {
