--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -16,7 +16,6 @@
 
 constexpr milliseconds heartbeat_period{1200};
 constexpr int heartbeats_to_lapse = 3;
-constexpr milliseconds plain_work{20};
 constexpr milliseconds event_gap{15};
 constexpr milliseconds role_switch{1000};
 constexpr milliseconds open_while_leaving{4000};
@@ -236,7 +235,7 @@
         }
         const http::request& message = call->message();
         if (request.kind != request_kind::stream) {
-            later(started, plain_work * condition.slowness, [this, started] { answer_plain(started); });
+            later(started, plan.plain_work * condition.slowness, [this, started] { answer_plain(started); });
             return;
         }
         const std::string counts = field(message, names::token_counts);
--- a/soak/engine_stand_in.hpp
+++ b/soak/engine_stand_in.hpp
@@ -22,6 +22,8 @@
     /// @brief Set for model engines.
     std::optional<engine_role> role;
     std::uint64_t slots = 16;
+    /// @brief Time that a plain service works on a call.
+    duration plain_work = milliseconds(20);
 };
 
 /// @brief Chances of trouble with a request, in percent.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "cli/command_line.hpp"
 #include "cli/commands.hpp"
+#include "latency.hpp"
 #include "soak_run.hpp"
 
 #include <unistd.h>
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr const char* name = "parsleypitch-soak";
+/// Bounds of what an entry host may add to a lookup on loopback.
+constexpr double added_p50_bound_ms = 0.5;
+constexpr double added_p99_bound_ms = 2;
 constexpr const char* summary = "run real entry hosts between stand-ins under random faults";
 
 int report_run(const soak_plan& plan, const soak_report& report) {
@@ -31,6 +35,24 @@
     return cli::exit_failure;
 }
 
+int report_latency(const soak_plan& plan) {
+    const auto report = measure_latency(plan);
+    if (!report) {
+        std::cerr << to_string(report.error()) << '\n';
+        return cli::exit_failure;
+    }
+    const latency_figures& direct = report.value().direct;
+    const latency_figures& through = report.value().through;
+    std::cout << "direct: p50 " << direct.p50_ms << " ms, p99 " << direct.p99_ms << " ms, " << direct.answered
+              << " answered, " << direct.failed << " failed\nthrough an entry host: p50 " << through.p50_ms
+              << " ms, p99 " << through.p99_ms << " ms, " << through.answered << " answered, "
+              << through.failed << " failed\nadded: p50 " << through.p50_ms - direct.p50_ms << " ms, p99 "
+              << through.p99_ms - direct.p99_ms << " ms\n";
+    const bool within = through.failed == 0 && through.p50_ms - direct.p50_ms <= added_p50_bound_ms &&
+                        through.p99_ms - direct.p99_ms <= added_p99_bound_ms;
+    return within ? cli::exit_success : cli::exit_failure;
+}
+
 int run(const cxxopts::ParseResult& options) {
     int code = cli::exit_success;
     const auto first = options["seed"].as<std::uint64_t>();
@@ -47,6 +69,9 @@
         plan.network = static_cast<unsigned>(::getpid());
         std::filesystem::remove_all(plan.folder);
         std::filesystem::create_directories(plan.folder);
+        if (options.count("latency") > 0) {
+            return report_latency(plan);
+        }
         const auto report = run_soak(plan);
         if (!report) {
             std::cerr << to_string(report.error()) << '\n';
@@ -72,7 +97,7 @@
         "runs", "seeds to run, one after the other", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "hosts", "entry hosts", cxxopts::value<std::size_t>()->default_value("3"))(
         "engines", "model engines", cxxopts::value<std::size_t>()->default_value("5"))(
-        "rate", "requests per second", cxxopts::value<std::uint64_t>()->default_value("80"))("calm",
-                                                                                             "no faults");
+        "rate", "requests per second", cxxopts::value<std::uint64_t>()->default_value("80"))(
+        "calm", "no faults")("latency", "measure what an entry host adds to lookups, at the rate given");
     return parsleypitch::cli::run_with_options(soak::name, options, {argv + 1, argv + argc}, soak::run);
 }
--- a/soak/soak_plan.hpp
+++ b/soak/soak_plan.hpp
@@ -24,6 +24,10 @@
     std::size_t model_engines = 5;
     std::size_t plain_engines = 2;
     std::uint64_t requests_per_second = 80;
+    /// @brief Time that a plain service works on a call.
+    duration plain_work = milliseconds(20);
+    /// @brief Engines are published with the address of a link before them.
+    bool links_before_engines = true;
     /// @brief Time with faults; before it everything starts, after it everything recovers.
     duration faults_for = seconds(12);
     /// @brief Time after recovery in which requests have to be served again.
--- a/soak/soak_traffic.cpp
+++ b/soak/soak_traffic.cpp
@@ -111,7 +111,8 @@
 
 soak_traffic::world::world(const soak_plan& plan)
     : network(plan.network), random(seeded_random_hook(plan.seed)), store(context, network.store(), random),
-      requests(context, targets(plan, network), plan.requests_per_second, seen, random) {
+      requests(context, targets(plan, network), plan.requests_per_second, seen, random),
+      plain_work(plan.plain_work), links_before_engines(plan.links_before_engines) {
     for (std::size_t host = 0; host < plan.entry_hosts; ++host) {
         caller_links.push_back(std::make_unique<bench::relay_link>(context, network.host_link(host),
                                                                    network.host_callers(host)));
@@ -128,9 +129,11 @@
     plan.service = service;
     plan.zone = zone_of(number);
     plan.listen = network.engine(number);
-    plan.published = network.engine_link(number);
+    plan.published = links_before_engines ? network.engine_link(number) : plan.listen;
+    plan.plain_work = plain_work;
     plan.role = role;
-    engine_links.push_back(std::make_unique<bench::relay_link>(context, plan.published, plan.listen));
+    engine_links.push_back(
+        std::make_unique<bench::relay_link>(context, network.engine_link(number), plan.listen));
     engines.push_back(std::make_unique<engine_stand_in>(context, plan,
                                                         engine_surroundings{&store, &seen, &caches, random}));
     BOOST_OUTCOME_TRY(engine_links.back()->open());
--- a/soak/soak_traffic.hpp
+++ b/soak/soak_traffic.hpp
@@ -78,6 +78,8 @@
         std::vector<std::unique_ptr<engine_stand_in>> engines;
         callers requests;
         std::uint64_t version = 0;
+        duration plain_work;
+        bool links_before_engines;
     };
 
     /// @brief Runs a task on the traffic thread.
