Take hosts that are gone off the store's list

Cause: each entry host writes itself into the store's list and nothing ever removed an entry.

Ruled out: expiry by the store (nothing of the system's own expires there) and removal by every host (390 writers of the same change, each call priced). A host that hears nobody may be cut off itself and must not judge.

Change: the host with the lowest address among those that are heard looks at the list every five minutes and removes entries that were not heard of in two looks, under their revision, so that an entry that was written again stays. object_slot has remove; the store client and the soak's store decode and serve it.

--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -62,6 +62,9 @@
     std::function<void(const std::string& content, object_version expected,
                        std::function<void(result<object_version>)>)>
         write;
+    /// @brief Removes the object if its revision is still `expected`. Returns `version_conflict`,
+    /// `object_not_found`, `platform_answer_lost` if it may have been removed, or a failure without effect.
+    std::function<void(object_version expected, std::function<void(result<void>)>)> remove;
 };
 
 } // namespace parsleypitch
--- a/include/parsleypitch/serving/peer_exchange.hpp
+++ b/include/parsleypitch/serving/peer_exchange.hpp
@@ -62,6 +62,8 @@
     void add_peers(const std::vector<endpoint>& listed);
     /// @brief Hosts that were listed or heard of within `forget_peer_after`, also if they are silent now.
     [[nodiscard]] std::size_t known() const;
+    /// @brief Addresses of these hosts.
+    [[nodiscard]] std::vector<endpoint> addresses() const;
     /// @brief Sends the reports that are due.
     void send_reports();
     void stop();
--- a/include/parsleypitch/serving/platform_adapter.hpp
+++ b/include/parsleypitch/serving/platform_adapter.hpp
@@ -21,7 +21,7 @@
     /// @brief The entry hosts, each with the endpoint for reports as content; the second gives the slot of
     /// one.
     object_source hosts;
-    std::function<object_slot(const entry_host_id&)> host_slot;
+    std::function<object_slot(const object_key&)> host_slot;
     /// @brief The lease of the host that gives orders to engines.
     object_slot authority;
     std::function<result<backend_server_entry>(const directory_object&)> decode_server;
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -36,6 +36,8 @@
     void adopt(std::shared_ptr<const fleet_snapshot> fleet);
     void adopt(const serve_settings& settings);
     void add_peers(std::vector<endpoint> listed);
+    /// @brief Gives the addresses of the hosts that are heard of to the control thread.
+    void ask_peers(std::function<void(std::vector<endpoint>)> receiver);
 
   private:
     struct state;
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -194,6 +194,9 @@
     }
 
     std::pair<unsigned, json> apply(const http::request& message, const object_target& target) {
+        if (message.method == "DELETE") {
+            return remove(target);
+        }
         const json sent = json::parse(message.body, nullptr, false);
         if (sent.is_discarded() || !sent.contains("metadata")) {
             return {status_malformed, json::object()};
@@ -217,6 +220,23 @@
         return {creates ? status_created : status_ok, encode(name, of_kind[name])};
     }
 
+    std::pair<unsigned, json> remove(const object_target& target) {
+        auto& of_kind = objects[target.kind];
+        const auto found = of_kind.find(target.name);
+        if (found == of_kind.end()) {
+            return {status_missing, json::object()};
+        }
+        json object = encode(found->first, found->second);
+        if (target.number("revision").value_or(found->second.revision.value()) !=
+            found->second.revision.value()) {
+            return {status_conflict, std::move(object)};
+        }
+        of_kind.erase(found);
+        newest = newest.next();
+        record(target.kind, {{"object", object}, {"deleted", true}});
+        return {status_ok, std::move(object)};
+    }
+
     object_version change_object(const std::string& kind, const std::string& name, json spec) {
         stored_object& object = objects[kind][name];
         if (object.spec != spec) {
@@ -312,15 +332,7 @@
 }
 
 void store_stand_in::remove(std::string_view kind, const object_key& name) {
-    auto& of_kind = m_state->objects[std::string(kind)];
-    const auto found = of_kind.find(name.str());
-    if (found == of_kind.end()) {
-        return;
-    }
-    const json object = state::encode(name.str(), found->second);
-    of_kind.erase(found);
-    m_state->newest = m_state->newest.next();
-    m_state->record(std::string(kind), {{"object", object}, {"deleted", true}});
+    (void)m_state->remove({std::string(kind), name.str(), {}}); // it may have lapsed before
 }
 
 std::uint64_t store_stand_in::calls() const {
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -162,6 +162,14 @@
     return m_state->peers.size();
 }
 
+std::vector<endpoint> peer_exchange::addresses() const {
+    std::vector<endpoint> all;
+    for (const auto& [address, peer] : m_state->peers) {
+        all.push_back(address);
+    }
+    return all;
+}
+
 void peer_exchange::send_reports() {
     state& s = *m_state;
     if (!s.socket.is_open() || s.peers.empty()) {
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -43,7 +43,7 @@
 void serving_directory::open(kernel& host) {
     m_access = m_adapter.open_directory(host.control_context(), m_settings.store);
     m_roles->open(m_access.authority);
-    m_peers->open(m_access.host_slot(m_settings.id), m_access.hosts);
+    m_peers->open(object_key(m_settings.id.str()), m_access.host_slot, m_access.hosts);
     watcher_hooks servers = hooks_for(host, servers_kind);
     servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
     servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -287,6 +287,12 @@
                [s = m_state.get(), listed = std::move(listed)] { s->peers->add_peers(listed); });
 }
 
+void serving_traffic::ask_peers(std::function<void(std::vector<endpoint>)> receiver) {
+    asio::post(m_state->context, [s = m_state.get(), receiver = std::move(receiver)] {
+        s->host->post_control([receiver, known = s->peers->addresses()] { receiver(known); });
+    });
+}
+
 retry_budget::config retry_share(const serve_settings& settings, std::size_t entry_hosts) {
     const double share = settings.retry_allowance / static_cast<double>(entry_hosts);
     retry_budget::config config;
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -176,6 +176,49 @@
     EXPECT_TRUE(second->received.empty());
 }
 
+class gone_host_fixture : public testing::Test {
+  protected:
+    static listed_host entry(const std::string& name, std::uint64_t revision = 1) {
+        return {object_key(name), object_version(revision), endpoint(name + ":1")};
+    }
+    std::vector<std::string> find(const std::vector<listed_host>& listed, std::vector<std::string> heard) {
+        std::vector<endpoint> addresses;
+        for (const std::string& each : heard) {
+            addresses.emplace_back(each + ":1");
+        }
+        std::vector<std::string> names;
+        for (const listed_host& each : m_finder.find(listed, endpoint("b:1"), addresses)) {
+            names.push_back(each.name.str());
+        }
+        return names;
+    }
+
+    gone_host_finder m_finder;
+};
+
+// Guards against a list that grows with every replaced host, and against removing a host that has just
+// started.
+TEST_F(gone_host_fixture, entry_is_gone_when_unheard_in_two_looks) {
+    EXPECT_TRUE(find({entry("b"), entry("c"), entry("d")}, {"c"}).empty());
+    EXPECT_EQ(find({entry("b"), entry("c"), entry("d")}, {"c"}), std::vector<std::string>{"d"});
+}
+
+// Guards against removing the new entry of a host that came back between two looks.
+TEST_F(gone_host_fixture, entry_that_was_written_again_or_heard_starts_anew) {
+    EXPECT_TRUE(find({entry("b"), entry("c"), entry("d"), entry("e")}, {"c"}).empty());
+    EXPECT_TRUE(find({entry("b"), entry("c"), entry("d", 2), entry("e")}, {"c", "e"}).empty());
+    EXPECT_EQ(find({entry("b"), entry("c"), entry("d", 2), entry("e")}, {"c"}),
+              std::vector<std::string>{"d"});
+}
+
+// Guards against a host that is cut off and takes all others for gone, and against two hosts that clean up.
+TEST_F(gone_host_fixture, host_that_hears_nobody_or_is_not_the_first_finds_nothing) {
+    for (int look = 0; look < 3; ++look) {
+        EXPECT_TRUE(find({entry("b"), entry("c")}, {}).empty());
+        EXPECT_TRUE(find({entry("a"), entry("b"), entry("c")}, {"a"}).empty());
+    }
+}
+
 class host_codec_fixture : public testing::Test {};
 
 // Guards against entries of other writers in the list of hosts.
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -266,6 +266,24 @@
     EXPECT_FALSE(m_protocol.decode_cache_report("no"));
 }
 
+class removal_codec_fixture : public testing::Test {
+  protected:
+    static result<void> decode(unsigned status, const std::string& body) {
+        http::response answer;
+        answer.head.status = status;
+        answer.body = body;
+        return decode_removal(answer);
+    }
+};
+
+// Guards against a removal that is taken for done although the store refused it.
+TEST_F(removal_codec_fixture, decode_removal_tells_done_from_raced_missing_and_failed) {
+    EXPECT_TRUE(decode(200, "{}"));
+    EXPECT_EQ(decode(409, "{}").error().code, errc::version_conflict);
+    EXPECT_EQ(decode(404, "{}").error().code, errc::object_not_found);
+    EXPECT_EQ(decode(503, "").error().code, errc::platform_unreachable);
+}
+
 class platform_settings_fixture : public testing::Test {
   protected:
     const std::string m_text =
