Bound what an entry host does for a fleet of any size

Change: a host follows at most 60 engines, those of its own zone first, the others by a draw of its own; it reports to the 12 hosts before and after it in the order of addresses, to all others every 15 s so that they count it; the placement looks for the least loaded decode engine once a zone; at most 10 roles are changed before there is demand. Fleets of up to 60 engines and 26 hosts work as before, but for the roles.

Conclusion: cost follows the bounds instead of the fleet; the watches of the store and the connections to engines still grow.

--- a/include/parsleypitch/fleet/role_balance.hpp
+++ b/include/parsleypitch/fleet/role_balance.hpp
@@ -15,6 +15,9 @@
     engine_capacity capacity{61'400, 4'000, 0.4};
     /// @brief Share of prefill engines while no demand is known.
     double initial_prefill_share = 0.55;
+    /// @brief Changes made before any demand is known; each is priced, and a large fleet may have little to
+    /// do.
+    std::size_t most_initial_changes = 10;
     /// @brief Demand has to be observed for this long before it counts.
     duration warm_up{seconds(20)};
     /// @brief A split that is off by fewer engines stays: a change costs an engine for seconds.
@@ -66,6 +69,7 @@
     std::vector<backend_server_entry> m_engines;
     time_point m_changed_at;
     bool m_serving = false;
+    std::size_t m_initial_changes = 0;
     std::optional<time_point> m_last_order;
     std::map<backend_server_id, ordered> m_ordered;
 };
--- a/include/parsleypitch/forwarding/cache_follower.hpp
+++ b/include/parsleypitch/forwarding/cache_follower.hpp
@@ -19,23 +19,32 @@
 /// @brief Time to answer besides the wait.
 inline constexpr milliseconds cache_query_allowance{1000};
 
-/// @brief Asks each model engine for the changes of its cache, one question at a time.
+/// @brief Engines that one host follows; those of its own zone come first.
+inline constexpr std::size_t most_followed_engines = 60;
+
+/// @brief Asks model engines for the changes of their caches, one question at a time each.
 ///
-/// All calls happen on the traffic thread.
+/// In a fleet with more engines than `most_followed_engines`, each host draws which ones it follows, so that
+/// its work does not grow with the fleet. All calls happen on the traffic thread.
 class cache_follower : public std::enable_shared_from_this<cache_follower> {
   public:
-    explicit cache_follower(std::shared_ptr<forwarder::state> shared) : m_shared(std::move(shared)) {}
+    explicit cache_follower(std::shared_ptr<forwarder::state> shared);
 
     /// @brief Starts to follow engines that are not followed yet; those that left end by themselves.
     void adopt_fleet();
 
   private:
+    [[nodiscard]] std::set<backend_server_id> choose() const;
     void ask(const backend_server_id& id);
     void ask_later(const backend_server_id& id);
     void on_answer(const backend_server_id& id, const std::string& body);
     void on_refused(const backend_server_id& id, const std::string& reason);
 
     std::shared_ptr<forwarder::state> m_shared;
+    /// Decides which engines of a large fleet this host follows.
+    std::uint64_t m_draw;
+    std::set<backend_server_id> m_chosen;
+    /// Chosen ones that a question or a timer is out for.
     std::set<backend_server_id> m_followed;
     /// Servers that refused a question, with the questions without a wait that are left.
     std::map<backend_server_id, unsigned> m_polls_left;
--- a/include/parsleypitch/serving/peer_exchange.hpp
+++ b/include/parsleypitch/serving/peer_exchange.hpp
@@ -19,6 +19,12 @@
 inline constexpr milliseconds load_report_period{150};
 /// @brief The same without work; the report then only shows that the host is there.
 inline constexpr milliseconds idle_report_period{500};
+/// @brief With more peers, only the next ones before and after this host in the order of addresses get every
+/// report.
+inline constexpr std::size_t most_near_peers = 25;
+inline constexpr std::size_t near_peers_each_way = 12;
+/// @brief The other peers get a report this often, so that they count this host.
+inline constexpr milliseconds far_peer_period{15'000};
 /// @brief A peer that is silent gets a report this often only, until it is heard of again.
 inline constexpr milliseconds silent_peer_period{5000};
 /// @brief A peer that was not heard of for this long is forgotten unless it is listed again.
--- a/src/fleet/role_balance.cpp
+++ b/src/fleet/role_balance.cpp
@@ -121,9 +121,10 @@
     const bool spaced = !m_last_order || now - *m_last_order >= m_policy.change_spacing;
     while (made.empty() ? spaced : !m_serving) {
         const auto change = next_change(now);
-        if (!change) {
+        if (!change || (!m_serving && m_initial_changes == m_policy.most_initial_changes)) {
             break;
         }
+        m_initial_changes += m_serving ? 0 : 1;
         m_ordered[change->engine] = {change->to, now};
         m_last_order = now;
         made.push_back(*change);
--- a/src/forwarding/cache_follower.cpp
+++ b/src/forwarding/cache_follower.cpp
@@ -1,24 +1,59 @@
 #include "forwarding/forwarder_state.hpp"
 
+#include <parsleypitch/core/hash.hpp>
 #include <parsleypitch/forwarding/cache_follower.hpp>
 
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <vector>
+
 namespace parsleypitch {
 
+cache_follower::cache_follower(std::shared_ptr<forwarder::state> shared)
+    : m_shared(std::move(shared)), m_draw(m_shared->hooks.random(std::numeric_limits<std::uint64_t>::max())) {
+}
+
 void cache_follower::adopt_fleet() {
     if (!m_shared->routes) {
         return;
     }
+    m_chosen = choose();
+    for (const backend_server_id& id : m_chosen) {
+        if (m_followed.insert(id).second) {
+            ask(id);
+        }
+    }
+}
+
+std::set<backend_server_id> cache_follower::choose() const {
+    struct candidate {
+        bool far = false;
+        std::uint64_t place = 0;
+        const backend_server_id* id = nullptr;
+    };
+    std::vector<candidate> candidates;
     for (const auto& [id, server] : m_shared->pool.all()) {
         const backend_service* service = m_shared->routes->find(server.entry.service);
-        if (service != nullptr && service->engine && m_followed.insert(id).second) {
-            ask(id);
+        if (service != nullptr && service->engine && !server.entry.draining) {
+            candidates.push_back({server.entry.zone != m_shared->zone, hash_bytes(id.str(), m_draw), &id});
         }
     }
+    const std::size_t count = std::min(candidates.size(), most_followed_engines);
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(), [](const candidate& a, const candidate& b) {
+                          return std::tie(a.far, a.place) < std::tie(b.far, b.place);
+                      });
+    std::set<backend_server_id> chosen;
+    for (std::size_t i = 0; i < count; ++i) {
+        chosen.insert(*candidates[i].id);
+    }
+    return chosen;
 }
 
 void cache_follower::ask(const backend_server_id& id) {
     const backend_state* server = m_shared->pool.find(id);
-    if (server == nullptr || server->entry.draining) {
+    if (server == nullptr || server->entry.draining || !m_chosen.contains(id)) {
         m_followed.erase(id);
         return;
     }
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <span>
 #include <unordered_map>
 
@@ -142,8 +143,13 @@
                                reread_penalty(plan.decode) + fetch_penalty(*decode, plan.decode));
         }
         if (!m_constraints.without_prefill) {
+            std::map<availability_zone_id, const backend_state*> nearest;
             for (const backend_state* prefill : m_prefill) {
-                if (const backend_state* decode = least_loaded_near(prefill->entry.zone)) {
+                const auto [known, added] = nearest.try_emplace(prefill->entry.zone, nullptr);
+                if (added) {
+                    known->second = least_loaded_near(prefill->entry.zone);
+                }
+                if (const backend_state* decode = known->second) {
                     const generation_placement plan = split_over(*prefill, *decode);
                     consider(plan, split_penalty(*prefill, *decode) + reread_penalty(*plan.prefill) +
                                        fetch_penalty(*prefill, *plan.prefill));
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -184,9 +184,18 @@
     const bool urgent = !loads.empty() || s.sent_load;
     s.sent_load = !loads.empty();
     const std::string bytes = encode_load_report({s.own, s.born, s.last_number, std::move(loads)});
-    for (auto& [address, peer] : s.peers) {
+    // Peers in the order of addresses, from the one that follows this host.
+    auto next = s.peers.upper_bound(s.own);
+    for (std::size_t place = 0; place < s.peers.size(); ++place, ++next) {
+        if (next == s.peers.end()) {
+            next = s.peers.begin();
+        }
+        auto& [address, peer] = *next;
         const bool silent = now - peer.heard_at > load_report_validity;
-        const duration period = silent   ? silent_peer_period
+        const bool far = s.peers.size() > most_near_peers && place >= near_peers_each_way &&
+                         place + near_peers_each_way < s.peers.size();
+        const duration period = far      ? far_peer_period
+                                : silent ? silent_peer_period
                                 : urgent ? load_report_period
                                          : idle_report_period;
         if (now - peer.sent_at < period) {
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -408,6 +408,23 @@
     EXPECT_EQ(asked("d1", true), 2U);
 }
 
+// Guards against questions whose number grows with the fleet.
+TEST_F(cache_question_fixture, host_follows_a_bounded_number_of_engines_of_its_own_zone_first) {
+    constexpr std::size_t near_engines = 40;
+    auto fleet = std::make_shared<fleet_snapshot>();
+    for (std::size_t i = 0; i < 3 * near_engines; ++i) {
+        backend_server_entry engine = server("e" + std::to_string(i), "model", engine_role::decode);
+        engine.zone = availability_zone_id(i < near_engines ? "z1" : "z2");
+        fleet->servers.push_back(engine);
+    }
+    m_cache_questions.clear();
+    m_forwarder->adopt(std::shared_ptr<const fleet_snapshot>(fleet));
+    EXPECT_EQ(m_cache_questions.size(), most_followed_engines);
+    for (std::size_t i = 0; i < near_engines; ++i) {
+        EXPECT_EQ(asked("e" + std::to_string(i), true), 1U) << i;
+    }
+}
+
 class prefill_forwarder_fixture : public forwarder_harness {
   protected:
     void SetUp() override {
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -176,13 +176,46 @@
     EXPECT_TRUE(second->received.empty());
 }
 
+// Guards against reports whose number grows with the fleet, and against far hosts that are forgotten.
+TEST_F(peer_exchange_fixture, host_of_a_large_deployment_reports_to_its_neighbours_and_rarely_to_others) {
+    constexpr std::size_t count = 40;
+    std::vector<std::unique_ptr<host>> hosts;
+    std::vector<endpoint> addresses;
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.push_back(make_host());
+        hosts.back()->loads = {{key_of(backend_server_id("a")), 5}};
+        addresses.push_back(hosts.back()->address);
+    }
+    for (const auto& each : hosts) {
+        each->exchange->add_peers(addresses);
+    }
+    constexpr std::size_t rounds = 20;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        m_now += load_report_period;
+        for (const auto& each : hosts) {
+            each->exchange->send_reports();
+        }
+        run();
+    }
+    const std::size_t near_reports = 2 * near_peers_each_way * rounds;
+    const std::size_t far_reports = count - 1 - 2 * near_peers_each_way;
+    for (const auto& each : hosts) {
+        // The reports of the first rounds go out before the neighbours have been heard of.
+        EXPECT_GE(each->received.size(), near_reports / 2);
+        EXPECT_LE(each->received.size(), near_reports + far_reports);
+        EXPECT_EQ(each->exchange->known(), count - 1);
+    }
+}
+
 class gone_host_fixture : public testing::Test {
   protected:
     static listed_host entry(const std::string& name, std::uint64_t revision = 1) {
         return {object_key(name), object_version(revision), endpoint(name + ":1")};
     }
-    std::vector<std::string> find(const std::vector<listed_host>& listed, std::vector<std::string> heard) {
+    std::vector<std::string> find(const std::vector<listed_host>& listed,
+                                  const std::vector<std::string>& heard) {
         std::vector<endpoint> addresses;
+        addresses.reserve(heard.size());
         for (const std::string& each : heard) {
             addresses.emplace_back(each + ":1");
         }
--- a/tests/unit-role-balance.cpp
+++ b/tests/unit-role-balance.cpp
@@ -55,6 +55,17 @@
     EXPECT_TRUE(m_balance.changes(m_now).empty());
 }
 
+// Guards against orders to a large part of a large fleet that may have little to do.
+TEST_F(role_balance_fixture, changes_before_any_demand_are_bounded) {
+    observe_engines(300, 100);
+    std::size_t made = 0;
+    for (int i = 0; i < 5; ++i) {
+        pass(m_policy.order_patience + seconds(1));
+        made += m_balance.changes(m_now).size();
+    }
+    EXPECT_EQ(made, m_policy.most_initial_changes);
+}
+
 // Guards against a zone that loses all engines of a role.
 TEST_F(role_balance_fixture, changes_come_from_the_zones_with_most_engines_of_the_role) {
     observe_engines(12, 4);
