Ask again for the page that failed instead of the whole list

Each host reads 3,000 entries in 60 pages, 18,000 calls together against 2,000 reads a second, and a refused page made a host begin its list anew, so that the first pages were read over and over.

Ruled out: slow starts of processes (1 s at 102 machines) and the lease. Stale reads do not count towards the rate, but the pages do not say whether the revision of a stale list fits a watch.

Change: the pages that arrived stay, the failed one is asked for again; the watch from the first page's revision reports what changed in them meanwhile, and lists anew if the store has forgotten that. A follower of caches forgets refusals of engines that left.

Figures: page_that_fails_is_asked_for_again_without_those_before_it failed before ("", "b", "" instead of "", "b", "b").

Conclusion: a mass start costs the store its pages once.

--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -44,7 +44,7 @@
 
   private:
     void list_from(const object_key& after);
-    void on_page(result<object_page> page);
+    void on_page(const object_key& after, result<object_page> page);
     void watch();
     void on_events(result<object_event_batch> batch);
     void retry(const error& why, std::function<void()> step);
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -9,16 +9,17 @@
         m_collected.clear();
         m_first_page = true;
     }
-    m_source.list(after, [self = shared_from_this()](result<object_page> page) {
+    m_source.list(after, [self = shared_from_this(), after](result<object_page> page) {
         if (!self->m_stopped) {
-            self->on_page(std::move(page));
+            self->on_page(after, std::move(page));
         }
     });
 }
 
-void kind_watcher::on_page(result<object_page> page) {
+void kind_watcher::on_page(const object_key& after, result<object_page> page) {
     if (!page) {
-        retry(page.error(), [this] { list_from(object_key()); });
+        // The pages before it stay: the watch reports what changes in them meanwhile.
+        retry(page.error(), [this, after] { list_from(after); });
         return;
     }
     m_delay = first_retry_delay;
--- a/src/forwarding/cache_follower.cpp
+++ b/src/forwarding/cache_follower.cpp
@@ -55,6 +55,7 @@
     const backend_state* server = m_shared->pool.find(id);
     if (server == nullptr || server->entry.draining || !m_chosen.contains(id)) {
         m_followed.erase(id);
+        m_polls_left.erase(id);
         return;
     }
     struct question {
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -45,6 +45,7 @@
         return made;
     }
     void answer(object_page made) { std::exchange(m_page, nullptr)(std::move(made)); }
+    void answer(const error& why) { std::exchange(m_page, nullptr)(why); }
     void answer(result<object_event_batch> batch) { std::exchange(m_events, nullptr)(std::move(batch)); }
     void run_scheduled() { std::exchange(m_scheduled, nullptr)(); }
 
@@ -70,6 +71,18 @@
     EXPECT_EQ(m_watches, std::vector<std::uint64_t>{7});
 }
 
+// Guards against lists that start anew with each refused page: many hosts that start at once would read the
+// first pages again and again and never come to the last.
+TEST_F(kind_watcher_fixture, page_that_fails_is_asked_for_again_without_those_before_it) {
+    answer(page({"a", "b"}, true, 7));
+    answer(fail(errc::platform_rate_limited, "429"));
+    run_scheduled();
+    answer(page({"c"}, false, 9));
+    EXPECT_EQ(m_lists, (std::vector<std::string>{"", "b", "b"}));
+    EXPECT_EQ(m_listed, std::vector<std::size_t>{3});
+    EXPECT_EQ(m_watches, std::vector<std::uint64_t>{7});
+}
+
 // Guards against changes that are asked for again or skipped, and against a call for each of many changes.
 TEST_F(kind_watcher_fixture, watch_continues_from_the_revision_of_its_last_answer) {
     answer(page({}, false, 7));
