Stop the soak's hosts once, and keep one copy of its bounds

The bounds told to the hosts were literals beside those that the promises are judged by, and the test for a served request, a status limit and a conversion to milliseconds were written again.

Change: the hosts are killed on the control thread, which starts none afterwards, all at once. Settings are written from promise_bounds; observed_request::served, detail::first_server_failure and detail::to_ms are used instead of the copies. No check, bound or expectation changed.

--- a/soak/host_processes.cpp
+++ b/soak/host_processes.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <future>
 
 namespace parsleypitch::soak {
 
@@ -15,7 +16,6 @@
 
 constexpr milliseconds watch_period{20};
 constexpr milliseconds last_stop{2000};
-constexpr seconds stop_grace{8};
 /// SIGKILL comes this long after the grace, so that an end in the last moment is seen as one.
 constexpr milliseconds grace_slack{500};
 constexpr unsigned first_system_port = 7380;
@@ -41,17 +41,31 @@
 }
 
 void host_processes::stop() {
-    for (entry_host& each : m_hosts) {
-        if (each.process) {
-            each.process->signal(SIGCONT);
-            each.process->signal(SIGKILL);
-            (void)each.process->wait_end(last_stop);
-        }
+    if (m_kernel == nullptr) {
+        return;
     }
+    // On the control thread, where `watch` would otherwise start the hosts again.
+    std::promise<void> done;
+    m_kernel->post_control([this, &done] {
+        m_stopped = true;
+        for (const entry_host& each : m_hosts) {
+            if (each.process) {
+                each.process->signal(SIGKILL);
+            }
+        }
+        for (entry_host& each : m_hosts) {
+            if (each.process) {
+                (void)each.process->wait_end(last_stop);
+            }
+        }
+        done.set_value();
+    });
+    done.get_future().wait();
 }
 
 result<void> host_processes::write_settings(std::size_t host) const {
     const soak_network network(m_plan.network);
+    const auto ms = [](duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
     const json settings = {
         {"node", host_id(host).str()},
         {"zone", zone_of(host).str()},
@@ -60,12 +74,12 @@
          {{"front", network.host_callers(host).str()}, {"ready", network.host_readiness(host).str()}}},
         {"internal_ports", {first_system_port, last_system_port}},
         {"bounds",
-         {{"contact_ms", 3000},
-          {"lease_ms", 3000},
-          {"grace_s", stop_grace.count()},
-          {"retry_budget_ratio", 0.2},
-          {"retry_budget_slack", 58},
-          {"budget_window_s", 10}}},
+         {{"contact_ms", ms(m_bounds.contact)},
+          {"lease_ms", ms(m_bounds.holder_pause)},
+          {"grace_s", to_seconds(m_bounds.stop_grace)},
+          {"retry_budget_ratio", m_bounds.retry_ratio},
+          {"retry_budget_slack", m_bounds.retry_allowance},
+          {"budget_window_s", to_seconds(m_bounds.retry_window)}}},
         {"platform", {{"address", network.store_link(host).str()}}}};
     const std::string path = m_plan.folder + "/" + host_id(host).str() + ".json";
     std::ofstream file(path);
@@ -90,6 +104,9 @@
 }
 
 void host_processes::watch(std::size_t host) {
+    if (m_stopped) {
+        return;
+    }
     entry_host& of = m_hosts[host];
     const time_point now = std::chrono::steady_clock::now();
     if (!of.process) {
@@ -101,7 +118,7 @@
         return;
     }
     if (of.process->running()) {
-        if (of.stopping && now > *of.stopping + stop_grace + grace_slack) {
+        if (of.stopping && now > *of.stopping + m_bounds.stop_grace + grace_slack) {
             if (!of.was_paused) {
                 note(host_id(host).str() + " still ran after its grace");
             }
--- a/soak/host_processes.hpp
+++ b/soak/host_processes.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "promises.hpp"
 #include "soak_plan.hpp"
 #include "soak_traffic.hpp"
 
@@ -57,9 +58,12 @@
     void note(const std::string& stray);
 
     soak_plan m_plan;
+    /// What the hosts are told to keep is what the run is judged by.
+    promise_bounds m_bounds;
     kernel* m_kernel = nullptr;
     std::shared_ptr<soak_traffic> m_traffic;
     std::vector<entry_host> m_hosts;
+    bool m_stopped = false;
 };
 
 } // namespace parsleypitch::soak
--- a/soak/latency.cpp
+++ b/soak/latency.cpp
@@ -1,5 +1,6 @@
 #include "latency.hpp"
 
+#include "forwarding/answer_status.hpp"
 #include "host_processes.hpp"
 #include "names.hpp"
 #include "soak_traffic.hpp"
@@ -84,8 +85,7 @@
         hooks.head = [](const http::response_head&) {};
         hooks.body = [](const std::string&) {};
         hooks.end = [self, begun] {
-            const auto took = std::chrono::steady_clock::now() - begun;
-            self->m_times.push_back(std::chrono::duration<double, std::milli>(took).count());
+            self->m_times.push_back(detail::to_ms(std::chrono::steady_clock::now() - begun));
         };
         hooks.failed = [self](const error&) { ++self->m_failed; };
         http::call_options options;
--- a/soak/observations.hpp
+++ b/soak/observations.hpp
@@ -73,6 +73,8 @@
     std::vector<observed_run> runs;
 
     [[nodiscard]] bool repeatable() const { return kind == request_kind::idempotent || resumable; }
+    /// @brief The caller got a whole success.
+    [[nodiscard]] bool served() const;
 };
 
 /// @brief An order that an engine received.
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr unsigned first_own_denial = 300;
-constexpr unsigned first_server_failure = 500;
 
 /// Collects the breaches of all promises.
 class examiner {
@@ -238,7 +237,7 @@
         std::vector<std::string> denied;
         for (const auto& [id, request] : m_seen.requests) {
             const unsigned status = request.answer ? request.answer->status : 0;
-            if (status >= first_own_denial && status < first_server_failure &&
+            if (status >= first_own_denial && status < detail::first_server_failure &&
                 !detail::promises_not_run(status)) {
                 denied.push_back(describe(request));
             }
@@ -326,7 +325,7 @@
                                 !request.caller_left;
             if (judged) {
                 ++sent;
-                served += request.answer->complete && detail::is_success(request.answer->status) ? 1 : 0;
+                served += request.served() ? 1 : 0;
             }
         }
         if (static_cast<double>(served) < m_bounds.served_after_recovery * static_cast<double>(sent)) {
@@ -343,6 +342,10 @@
 
 } // namespace
 
+bool observed_request::served() const {
+    return answer && answer->complete && detail::is_success(answer->status);
+}
+
 std::string_view to_string(promise which) noexcept {
     switch (which) {
     case promise::runs_once:
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -1,10 +1,10 @@
 #include "soak_run.hpp"
 
 #include "fault_series.hpp"
-#include "forwarding/answer_status.hpp"
 #include "host_processes.hpp"
 #include "soak_traffic.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace parsleypitch::soak {
@@ -17,16 +17,6 @@
 constexpr milliseconds last_answers{3500};
 constexpr std::uint64_t mixes = 3;
 
-std::size_t served_of(const observations& seen) {
-    std::size_t served = 0;
-    for (const auto& [id, request] : seen.requests) {
-        const bool whole =
-            request.answer && request.answer->complete && detail::is_success(request.answer->status);
-        served += whole ? 1 : 0;
-    }
-    return served;
-}
-
 } // namespace
 
 fault_mix mix_of_seed(std::uint64_t seed) {
@@ -67,7 +57,9 @@
     traffic->run([&](soak_traffic::world& all) {
         all.seen.calm_since = calm;
         report.requests = all.seen.requests.size();
-        report.served = served_of(all.seen);
+        report.served =
+            static_cast<std::size_t>(std::count_if(all.seen.requests.begin(), all.seen.requests.end(),
+                                                   [](const auto& each) { return each.second.served(); }));
         report.broken = broken_promises(all.seen, bounds, std::chrono::steady_clock::now());
     });
     host.stop();
