Log the shared parts of attempts and the ends of engines

After an engine has lost a generation of which no event had arrived, it is now asked for its start on a new connection; a refused connection or another start is logged as server_ended.

--- a/include/parsleypitch/core/error.hpp
+++ b/include/parsleypitch/core/error.hpp
@@ -90,6 +90,8 @@
     backend_silent = 608,
     /// The response reports a failure.
     backend_failed = 609,
+    /// The host of the server refused the connection, so no process listens at the address.
+    backend_not_listening = 610,
     // 7xx: kernel
     service_not_found = 701,
     service_duplicate = 702,
--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -35,6 +35,9 @@
     return std::span(work.parts).first(work.parts.empty() ? 0 : work.parts.size() - 1);
 }
 
+/// @brief Ids of the shared parts, separated by commas, for the log.
+[[nodiscard]] std::string shared_part_names(const generation_work& work);
+
 /// @brief A decoded request of a caller.
 struct inbound_call {
     request_id id;
@@ -130,6 +133,10 @@
     std::function<http::request(cache_position after, milliseconds wait)> encode_cache_query;
     /// @brief Decodes the response to a cache query; `backend_broken` if it is invalid.
     std::function<result<cache_report>(const std::string& body)> decode_cache_report;
+    /// @brief Encodes the query for the start of an engine, which it answers without delay.
+    std::function<http::request()> encode_start_query;
+    /// @brief Decodes the response to it; empty if it does not tell the start.
+    std::function<std::optional<incarnation>(const std::string& body)> decode_start;
     std::function<http::request(const role_order&)> encode_role_order;
     std::function<role_order_result(const http::response_head&)> decode_role_order_response;
     /// @brief Sets the request id on a response that this system generates.
--- a/include/parsleypitch/forwarding/peer_work.hpp
+++ b/include/parsleypitch/forwarding/peer_work.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/forwarding/server_key.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
 #include <map>
@@ -9,11 +10,6 @@
 
 namespace parsleypitch {
 
-/// @brief Key of a backend server in reports: the low 32 bits of the hash of its id.
-using server_key = number_id<struct server_key_tag>;
-
-[[nodiscard]] server_key key_of(const backend_server_id& server) noexcept;
-
 /// @brief Work that an entry host has started on a backend server.
 struct started_work {
     server_key server;
--- a/include/parsleypitch/http/client.hpp
+++ b/include/parsleypitch/http/client.hpp
@@ -41,8 +41,8 @@
     std::function<void()> end;
     /// @brief Reports why the call failed.
     ///
-    /// `backend_unreachable` and `backend_overloaded` mean that no byte was sent; after any other error the
-    /// server may have received the request.
+    /// `backend_unreachable`, `backend_not_listening` and `backend_overloaded` mean that no byte was sent;
+    /// after any other error the server may have received the request.
     std::function<void(const error&)> failed;
     /// @brief Called when the call has a connection, just before its request is written.
     std::function<void()> sent;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -134,6 +134,8 @@
         return "backend_silent";
     case errc::backend_failed:
         return "backend_failed";
+    case errc::backend_not_listening:
+        return "backend_not_listening";
     case errc::service_not_found:
         return "service_not_found";
     case errc::service_duplicate:
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -1,3 +1,4 @@
+#include "forwarding/crash_detector.hpp"
 #include "forwarding/forwarded_request.hpp"
 #include "forwarding/milliseconds.hpp"
 #include "forwarding/response_status.hpp"
@@ -202,6 +203,9 @@
         }
         return;
     }
+    if (m_call.work && !m_first_event_after) {
+        m_shared->crashes->on_request_lost(m_attempt->server.id, *m_call.work);
+    }
     finish_attempt(attempt_result::broken);
     after_failure(why, is_prefill ? run_state::not_run : run_state::outcome_unknown);
 }
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -1,3 +1,4 @@
+#include "forwarding/crash_detector.hpp"
 #include "forwarding/forwarded_request.hpp"
 #include "forwarding/generation_dispatcher.hpp"
 
@@ -42,6 +43,7 @@
     m_state->zone = std::move(zone);
     m_state->log = std::move(log);
     m_state->metrics = std::move(metrics);
+    m_state->crashes = std::make_shared<crash_detector>(m_state);
     m_cache_poller = std::make_shared<cache_poller>(m_state);
 }
 
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -7,6 +7,7 @@
 
 namespace parsleypitch {
 
+class crash_detector;
 class forwarded_request;
 class generation_dispatcher;
 
@@ -32,6 +33,7 @@
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
     std::map<backend_service_id, token_totals> demand;
     std::map<backend_service_id, service_knowledge> services;
+    std::shared_ptr<crash_detector> crashes;
     std::size_t entry_hosts = assumed_entry_hosts;
     bool refusing_requests = false;
     bool refusing_streams = false;
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -37,6 +37,7 @@
     case errc::agent_not_ready:
     case errc::order_in_progress:
     case errc::backend_unreachable:
+    case errc::backend_not_listening:
     case errc::backend_refused:
     case errc::backend_broken:
     case errc::backend_overloaded:
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -80,6 +80,10 @@
                 m_cache_queries.push_back(made);
                 return http::call_handle([] {});
             }
+            if (made->has("/start")) {
+                m_start_queries.push_back(made);
+                return http::call_handle([] {});
+            }
             m_calls.push_back(made);
             return http::call_handle([made] {
                 made->cancelled = true;
@@ -163,6 +167,10 @@
             return http::request{"GET", "/cache", {{"wait", std::to_string(wait.count())}}, "", true};
         };
         p.decode_cache_report = [](const std::string&) -> result<cache_report> { return cache_report{}; };
+        p.encode_start_query = [] { return http::request{"GET", "/start", {}, "", true}; };
+        p.decode_start = [](const std::string& body) -> std::optional<incarnation> {
+            return incarnation(std::stoull(body));
+        };
         p.mark_response = [](const request_id& id, http::response_head& head) {
             head.headers.set("id", id.str());
         };
@@ -315,6 +323,8 @@
     std::vector<std::shared_ptr<recorded_call>> m_calls;
     /// Cache queries, kept apart from the attempts at requests.
     std::vector<std::shared_ptr<recorded_call>> m_cache_queries;
+    /// Queries for the start of an engine, kept apart too.
+    std::vector<std::shared_ptr<recorded_call>> m_start_queries;
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<metrics_registry> m_metrics;
     std::unique_ptr<forwarder> m_forwarder;
--- a/tests/load_harness.hpp
+++ b/tests/load_harness.hpp
@@ -172,6 +172,8 @@
         protocol.decode_response_head = [](const http::response_head& head) {
             return response_metadata{request_id(*head.headers.find("id")), true, false};
         };
+        protocol.encode_start_query = [] { return http::request{"GET", "/start", {}, "", true}; };
+        protocol.decode_start = [](const std::string&) { return std::optional<incarnation>(); };
         protocol.encode_cache_query = [](cache_position, milliseconds) {
             return http::request{"GET", "/cache", {}, "", true};
         };
