--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -124,7 +124,11 @@
             if (const std::string* prompt = message.headers.find("prompt")) {
                 generation_work work;
                 work.prompt = token_count(std::stol(*prompt));
-                work.parts = {{prompt_part_id("own"), work.prompt}};
+                if (const std::string* shared = message.headers.find("shared-part")) {
+                    work.parts.push_back({prompt_part_id("first"), token_count(10)});
+                    work.parts.push_back({prompt_part_id(*shared), token_count(10)});
+                }
+                work.parts.push_back({prompt_part_id("own"), work.prompt});
                 call.work = work;
             }
             call.message = std::move(message);
