Keep prompt parts under which engines ended away from engines

Cause: nothing linked the ends of engines. Each host saw a broken connection and sent the next request with the same part, and resumable ones a second time. The class of fault is a request that ends each server it is sent to, with retries that spread it. Change: prompt_quarantine weighs evidence. A part that stood in requests without an event at three engines that ended, and with which no request has ever delivered an event, is refused with 503 (not run) and the time to come back. Ends are counted by engine and start, so that many observers count as one; draining engines and engines that answer are no evidence. Parts with equal evidence are refused only together until one of them is seen to work. A request whose part is suspected is not repeated after its engine ended. Hosts tell each other evidence, sound parts and quarantines in their reports and heartbeats; the store keeps quarantines for hosts that start (kind parsleypitch-quarantines). Weighed: blaming the caller (sound requests share it); one crash as threshold (neighbours are condemned); trials while the quarantine lasts (each costs an engine); evidence in the store (a write for each crash).

--- a/include/parsleypitch/core/error.hpp
+++ b/include/parsleypitch/core/error.hpp
@@ -39,6 +39,8 @@
     /// The process has not received a configuration yet.
     no_configuration = 125,
     header_too_large = 126,
+    /// Engines ended under a part of the prompt, so requests with it are not sent to engines.
+    prompt_quarantined = 127,
     // 2xx: settings and documents
     unreadable_file = 201,
     malformed_document = 202,
--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -5,6 +5,7 @@
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/forwarding/crash_evidence.hpp>
 #include <parsleypitch/http/message.hpp>
 
 #include <functional>
@@ -35,6 +36,8 @@
     return std::span(work.parts).first(work.parts.empty() ? 0 : work.parts.size() - 1);
 }
 
+/// @brief Keys of the shared parts.
+[[nodiscard]] std::vector<prompt_part_key> shared_part_keys(const generation_work& work);
 /// @brief Ids of the shared parts, separated by commas, for the log.
 [[nodiscard]] std::string shared_part_names(const generation_work& work);
 
--- a/include/parsleypitch/forwarding/crash_evidence.hpp
+++ b/include/parsleypitch/forwarding/crash_evidence.hpp
@@ -2,10 +2,10 @@
 
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/units.hpp>
-#include <parsleypitch/forwarding/backend_protocol.hpp>
 #include <parsleypitch/forwarding/server_key.hpp>
 
 #include <compare>
+#include <set>
 #include <vector>
 
 namespace parsleypitch {
@@ -13,9 +13,6 @@
 /// @brief Key of a part of the prompts for one model: the hash of its id and of the model.
 using prompt_part_key = number_id<struct prompt_part_key_tag>;
 
-/// @brief Returns the keys of the shared parts of a prompt.
-[[nodiscard]] std::vector<prompt_part_key> shared_part_keys(const generation_work& work);
-
 /// @brief One start of an engine, which can end only once.
 struct engine_start {
     server_key server;
@@ -30,4 +27,22 @@
     std::vector<prompt_part_key> parts;
 };
 
+/// @brief Prompt parts that are kept away from engines where they stand together in one prompt.
+struct quarantined_parts {
+    std::set<prompt_part_key> parts;
+    duration remaining{0};
+};
+
+/// @brief What a host tells the others about crashes of engines and the parts under which they happened.
+struct quarantine_report {
+    std::vector<crash_evidence> crashes;
+    /// @brief Parts named as evidence by other hosts with which a request has delivered an event.
+    std::vector<prompt_part_key> sound;
+    std::vector<quarantined_parts> quarantined;
+
+    [[nodiscard]] bool empty() const noexcept {
+        return crashes.empty() && sound.empty() && quarantined.empty();
+    }
+};
+
 } // namespace parsleypitch
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -36,6 +36,9 @@
     random_hook random;
     /// @brief Called when there is something to report to the other entry hosts, see `take_report`.
     std::function<void()> report_pending = [] {};
+    /// @brief Called with a quarantine that begins by evidence of this host, so that it is recorded for hosts
+    /// that start later.
+    std::function<void(const quarantined_parts&)> record_quarantine = [](const quarantined_parts&) {};
 };
 
 /// @brief Prompt tokens that need prefill and generated output tokens.
@@ -121,6 +124,10 @@
     [[nodiscard]] work_report take_report();
     /// @brief Applies a report of another entry host.
     void note_peer_report(const work_report& report);
+    /// @brief Returns the quarantines in force, for hosts that get no reports of work.
+    [[nodiscard]] work_report heartbeat();
+    /// @brief Applies quarantines that other hosts have recorded.
+    void adopt(const std::vector<quarantined_parts>& recorded);
     /// @brief Forgets entry hosts whose last report has expired.
     void expire_peers();
     /// @brief Updates the gauges of the forwarder for the metrics page.
--- a/include/parsleypitch/forwarding/peer_work.hpp
+++ b/include/parsleypitch/forwarding/peer_work.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/forwarding/crash_evidence.hpp>
 #include <parsleypitch/forwarding/server_key.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
@@ -37,9 +38,10 @@
     std::vector<prefix_placement> placements;
     /// @brief Engines that refused work of the sender, for example because they are changing their role.
     std::vector<server_key> refusing;
+    quarantine_report quarantine;
 
     [[nodiscard]] bool empty() const noexcept {
-        return started.empty() && placements.empty() && refusing.empty();
+        return started.empty() && placements.empty() && refusing.empty() && quarantine.empty();
     }
 };
 
--- a/include/parsleypitch/serving/peer_exchange.hpp
+++ b/include/parsleypitch/serving/peer_exchange.hpp
@@ -31,6 +31,9 @@
 struct peer_exchange_hooks {
     /// @brief Returns what this host has started since the last call.
     std::function<work_report()> take_report;
+    /// @brief Returns what a heartbeat tells; it goes to all known hosts, also to those that get no reports
+    /// of work.
+    std::function<work_report()> heartbeat = [] { return work_report(); };
     /// @brief Called with each report of a peer.
     std::function<void(const work_report&)> received;
     clock_hook now;
--- a/include/parsleypitch/serving/platform_adapter.hpp
+++ b/include/parsleypitch/serving/platform_adapter.hpp
@@ -24,6 +24,9 @@
     object_source hosts;
     /// @brief Returns the handle of the entry of one entry host.
     std::function<object_handle(const object_key&)> host_entry;
+    /// @brief Quarantined prompt parts that entry hosts have recorded.
+    object_source quarantines;
+    std::function<object_handle(const object_key&)> quarantine_record;
     /// @brief Lease of the entry host that sends role orders to engines.
     object_handle authority;
     std::function<result<backend_server_entry>(const directory_object&)> decode_server;
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -6,6 +6,7 @@
 #include <parsleypitch/logging/event_log.hpp>
 #include <parsleypitch/serving/platform_adapter.hpp>
 #include <parsleypitch/serving/serving_peers.hpp>
+#include <parsleypitch/serving/serving_quarantine.hpp>
 #include <parsleypitch/serving/serving_roles.hpp>
 
 #include <memory>
@@ -53,6 +54,7 @@
     std::shared_ptr<serving_traffic> m_traffic;
     std::shared_ptr<serving_roles> m_roles;
     std::shared_ptr<serving_peers> m_peers;
+    std::shared_ptr<serving_quarantine> m_quarantine;
     store_access m_store;
     std::shared_ptr<kind_watcher> m_server_watcher;
     std::shared_ptr<kind_watcher> m_configuration_watcher;
--- /dev/null
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <parsleypitch/core/hooks.hpp>
+#include <parsleypitch/directory/object_source.hpp>
+#include <parsleypitch/kernel/kernel.hpp>
+#include <parsleypitch/logging/event_log.hpp>
+#include <parsleypitch/serving/serving_traffic.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace parsleypitch {
+
+/// @brief Clock of the records, which several hosts read.
+using wall_clock_hook = std::function<std::chrono::system_clock::time_point()>;
+
+/// @brief Encodes a record: the keys of the parts and the Unix time in milliseconds at which the quarantine
+/// ends.
+[[nodiscard]] std::string encode_quarantine_record(const quarantined_parts& quarantined,
+                                                   std::chrono::system_clock::time_point now);
+/// @brief Decodes a record.
+/// @return `malformed_document` if it is not one. The remaining time is zero if the quarantine has ended.
+[[nodiscard]] result<quarantined_parts> decode_quarantine_record(const std::string& content,
+                                                                 std::chrono::system_clock::time_point now);
+
+/// @brief Keeps the quarantined prompt parts in the store, for hosts that start when no other host is up.
+///
+/// The records are read once at the start; running hosts tell each other. A record whose quarantine has ended
+/// is removed by the host that reads it. The state is accessed only on the control thread.
+class serving_quarantine final : public service, public std::enable_shared_from_this<serving_quarantine> {
+  public:
+    explicit serving_quarantine(wall_clock_hook clock) : m_clock(std::move(clock)) {}
+
+    [[nodiscard]] service_name name() const override;
+    [[nodiscard]] result<void> start(kernel& host) override;
+    void stop() override;
+
+    /// @brief Reads the records. Called on the control thread once the store is open.
+    void open(object_source records, std::function<object_handle(const object_key&)> record);
+
+  private:
+    void read(const object_key& after);
+    void on_page(const object_key& after, const object_page& page);
+    void write(const quarantined_parts& quarantined);
+    void retry(std::function<void()> step);
+
+    wall_clock_hook m_clock;
+    kernel* m_kernel = nullptr;
+    std::shared_ptr<event_log> m_log;
+    std::shared_ptr<serving_traffic> m_traffic;
+    object_source m_records;
+    std::function<object_handle(const object_key&)> m_record;
+    bool m_stopped = false;
+};
+
+/// @brief Name of the service in the kernel.
+[[nodiscard]] service_name serving_quarantine_name();
+
+} // namespace parsleypitch
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -67,6 +67,7 @@
         std::make_shared<serving_roles>(self, adapter.protocol, settings.value().holder_pause,
                                         suspend_aware_clock_hook()),
         std::make_shared<serving_peers>(settings.value().peers),
+        std::make_shared<serving_quarantine>([] { return std::chrono::system_clock::now(); }),
         directory};
     for (const auto& each : services) {
         if (const auto added = host.add(each); !added) {
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -60,6 +60,8 @@
         return "no_configuration";
     case errc::header_too_large:
         return "header_too_large";
+    case errc::prompt_quarantined:
+        return "prompt_quarantined";
     case errc::unreadable_file:
         return "unreadable_file";
     case errc::malformed_document:
--- a/src/forwarding/crash_detector.cpp
+++ b/src/forwarding/crash_detector.cpp
@@ -21,7 +21,10 @@
     if (server == nullptr || server->entry.draining) { // a planned end
         return;
     }
-    const std::vector<prompt_part_key> parts = shared_part_keys(work);
+    const std::vector<prompt_part_key> parts = shared->quarantine.unproven(shared_part_keys(work));
+    if (parts.empty()) {
+        return;
+    }
     const auto [found, added] = m_suspected.try_emplace(engine);
     suspected_crash& suspected = found->second;
     suspected.parts.insert(parts.begin(), parts.end());
@@ -131,8 +134,9 @@
                                           {"born", ended.born},
                                           {"sign", sign},
                                           {"lost_requests", ended.lost_requests},
-                                          {"parts", std::uint64_t{ended.parts.size()}}});
+                                          {"unproven_parts", std::uint64_t{ended.parts.size()}}});
     shared->count("parsleypitch_server_crashes_total", {});
+    shared->note_crash({{key_of(engine), ended.born}, {ended.parts.begin(), ended.parts.end()}});
 }
 
 } // namespace parsleypitch
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -48,6 +48,9 @@
                                  ? std::min<duration>(*m_call.caller_timeout, m_route->timeout)
                                  : m_route->timeout;
     m_deadline = m_received_at + timeout;
+    if (m_call.work) {
+        m_shared_parts = shared_part_keys(*m_call.work);
+    }
     m_exchange->on_disconnect([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_disconnected();
@@ -61,6 +64,10 @@
     m_deadline_timer = m_shared->hooks.start_timer(
         std::max(duration::zero(), m_deadline - m_shared->policy.deadline_margin - now()), on_time);
     m_shared->budget_of(m_service->id).on_request(now());
+    if (quarantine_remaining() > duration::zero()) {
+        end_if_quarantined();
+        return;
+    }
     send_next();
 }
 
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -24,6 +24,8 @@
     [[nodiscard]] admission_decision try_start_held();
     /// Ends this held request.
     void refuse_held(const refusal& why);
+    /// Ends this request if its prompt is quarantined and nothing of its response has been sent.
+    void end_if_quarantined();
 
   private:
     /// One attempt at a backend server.
@@ -71,7 +73,12 @@
 
     // End of attempts and of the request
     void finish_attempt(std::optional<attempt_result> result);
+    /// Cancels the current attempt, if there is one, and frees what it reserved.
+    void end_attempt_early(std::optional<attempt_result> result);
     void after_failure(const error& why, run_state attempt_ran);
+    [[nodiscard]] bool decide_retry(const error& why, run_state attempt_ran);
+    /// How long requests with the parts of this prompt are refused; zero if they are not.
+    [[nodiscard]] duration quarantine_remaining() const;
     void send_response(http::response answer);
     void refuse(const error& why, duration retry_after_hint);
     void on_deadline();
@@ -92,6 +99,8 @@
     const route* m_route = nullptr;
     const backend_service* m_service = nullptr;
     inbound_call m_call;
+    /// Keys of the shared parts of the prompt.
+    std::vector<prompt_part_key> m_shared_parts;
     time_point m_deadline;
     timer_cancel m_deadline_timer;
     timer_cancel m_attempt_timer;
@@ -104,6 +113,8 @@
     unsigned m_attempts = 0;
     unsigned m_connect_failures = 0;
     bool m_prefill_failed = false;
+    /// An engine lost this request before its first event.
+    bool m_lost_before_event = false;
     /// Set while the request waits for an engine with room.
     std::optional<held_request_id> m_held;
     run_state m_ran = run_state::not_run;
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -46,6 +46,33 @@
         m_ran = attempt_ran;
     }
     m_prefill_failed = true;
+    if (decide_retry(why, attempt_ran)) {
+        send_next();
+        return;
+    }
+    if (m_stream_begun) {
+        m_exchange->abort();
+        finish_request("stream_aborted", 0, reason_name(why.code));
+        return;
+    }
+    if (m_server_failure && m_ran != run_state::not_run) {
+        send_response(std::move(*m_server_failure));
+        return;
+    }
+    refuse(why, m_shared->policy.retry_after_hint);
+}
+
+bool forwarded_request::decide_retry(const error& why, run_state attempt_ran) {
+    // A repeat could end a second engine.
+    if (m_lost_before_event && m_shared->quarantine.is_suspected(m_shared_parts)) {
+        m_shared->count("parsleypitch_retry_decisions_total", {{"reason", "suspected_prompt"}});
+        m_shared->log->info("retry_decision", {{"request", m_call.id},
+                                               {"decision", "suspected_prompt"},
+                                               {"failure", reason_name(why.code)},
+                                               {"ran", to_string(attempt_ran)},
+                                               {"sends", m_attempts}});
+        return false;
+    }
     retry_policy_config config;
     config.max_attempts = m_route->max_attempts;
     config.base_delay = duration::zero();
@@ -62,20 +89,20 @@
                                            {"sends", m_attempts},
                                            {"max_attempts", m_route->max_attempts},
                                            {"budget", m_shared->budget_of(m_service->id).available()}});
-    if (decision.retry()) {
-        send_next();
-        return;
-    }
-    if (m_stream_begun) {
-        m_exchange->abort();
-        finish_request("stream_aborted", 0, reason_name(why.code));
-        return;
-    }
-    if (m_server_failure && m_ran != run_state::not_run) {
-        send_response(std::move(*m_server_failure));
+    return decision.retry();
+}
+
+duration forwarded_request::quarantine_remaining() const {
+    return m_shared->quarantine.remaining(m_shared_parts, now());
+}
+
+void forwarded_request::end_if_quarantined() {
+    const duration remaining = quarantine_remaining();
+    if (m_finished || m_stream_begun || remaining <= duration::zero()) {
         return;
     }
-    refuse(why, m_shared->policy.retry_after_hint);
+    end_attempt_early(std::nullopt);
+    refuse(fail(errc::prompt_quarantined, "engines ended under parts of this prompt"), remaining);
 }
 
 void forwarded_request::send_response(http::response answer) {
@@ -110,17 +137,21 @@
     if (m_finished) {
         return;
     }
+    const bool silent = m_attempt && !m_attempt->response_started && why.code == errc::deadline_exceeded;
+    end_attempt_early(silent ? std::optional(attempt_result::silent) : std::nullopt);
+    refuse(why, m_shared->policy.retry_after_hint);
+}
+
+void forwarded_request::end_attempt_early(std::optional<attempt_result> result) {
     if (m_attempt) {
         // A prefill never runs the request, but an attempt at the whole request may have run it.
         if (m_attempt->sent && m_attempt->stage == attempt_stage::whole) {
             m_ran = m_ran == run_state::ran ? run_state::ran : run_state::outcome_unknown;
         }
-        const bool silent = !m_attempt->response_started && why.code == errc::deadline_exceeded;
         m_attempt->call.cancel();
-        finish_attempt(silent ? std::optional(attempt_result::silent) : std::nullopt);
+        finish_attempt(result);
     }
     release_source();
-    refuse(why, m_shared->policy.retry_after_hint);
 }
 
 void forwarded_request::on_caller_disconnected() {
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -73,6 +73,7 @@
 void forwarded_request::forward_events(const std::string& events) {
     if (!m_first_event_after) {
         m_first_event_after = elapsed();
+        m_shared->quarantine.note_sound(m_shared_parts);
         const double took = detail::to_ms(now() - m_attempt->started);
         note_prefill_ended(took);
         if (m_call.work && !m_attempt->source) {
@@ -204,6 +205,7 @@
         return;
     }
     if (m_call.work && !m_first_event_after) {
+        m_lost_before_event = true;
         m_shared->crashes->on_request_lost(m_attempt->server.id, *m_call.work);
     }
     finish_attempt(attempt_result::broken);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -128,11 +128,16 @@
 }
 
 work_report forwarder::take_report() {
-    return m_state->pool.take_report();
+    work_report report = m_state->pool.take_report();
+    report.quarantine = m_state->quarantine.report(m_state->hooks.now());
+    return report;
 }
 
 void forwarder::note_peer_report(const work_report& report) {
     m_state->pool.note_peer_report(report, m_state->hooks.now());
+    if (!report.quarantine.empty()) {
+        m_state->note_quarantine_report(report.quarantine);
+    }
 }
 
 void forwarder::expire_peers() {
@@ -145,6 +150,8 @@
         m_state->metrics->set(metric_name(metric), labels, value);
     };
     gauge("parsleypitch_peers", {}, static_cast<double>(m_state->pool.peers()));
+    gauge("parsleypitch_quarantines", {}, static_cast<double>(m_state->quarantine.quarantined(now).size()));
+    gauge("parsleypitch_suspected_prompt_parts", {}, static_cast<double>(m_state->quarantine.suspects()));
     gauge("parsleypitch_open_requests", {}, static_cast<double>(m_state->requests.size()));
     if (m_state->routes) {
         gauge("parsleypitch_config_version", {}, static_cast<double>(m_state->routes->version().value()));
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/forwarding/engine_speed.hpp>
 #include <parsleypitch/forwarding/forwarder.hpp>
+#include <parsleypitch/forwarding/prompt_quarantine.hpp>
 
 #include <unordered_set>
 
@@ -34,6 +35,8 @@
     std::map<backend_service_id, token_totals> demand;
     std::map<backend_service_id, service_knowledge> services;
     std::shared_ptr<crash_detector> crashes;
+    prompt_quarantine quarantine;
+    timer_cancel quarantine_report_timer;
     std::size_t entry_hosts = assumed_entry_hosts;
     bool refusing_requests = false;
     bool refusing_streams = false;
@@ -60,6 +63,14 @@
     /// Checks the held requests of a service, because one of its engines may have room.
     void check_held(const backend_service_id& service);
 
+    /// Weighs the end of an engine that this host has observed.
+    void note_crash(const crash_evidence& evidence);
+    void note_quarantine_report(const quarantine_report& report);
+    /// Logs the newest quarantine and ends the requests that it concerns.
+    void on_quarantine_begun(std::string_view source);
+    /// Reports to the other hosts while there is something to repeat.
+    void report_quarantine();
+
     /// Connections that this host may open to one server of a service.
     [[nodiscard]] std::size_t connection_share(const backend_service& service) const {
         return std::max(min_connections_per_server,
--- a/src/forwarding/prompt_parts.cpp
+++ b/src/forwarding/prompt_parts.cpp
@@ -1,6 +1,5 @@
 #include <parsleypitch/core/hash.hpp>
 #include <parsleypitch/forwarding/backend_protocol.hpp>
-#include <parsleypitch/forwarding/crash_evidence.hpp>
 
 namespace parsleypitch {
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -5,12 +5,11 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <map>
+#include <optional>
 
 namespace parsleypitch {
 
@@ -18,11 +17,6 @@
 
 namespace {
 
-constexpr std::size_t report_header_size = 30; // two 64-bit integers and the CBOR headers of the arrays
-constexpr std::size_t started_work_size = 10;  // two 32-bit integers: server key and milliseconds
-constexpr std::size_t server_size = 5;         // a 32-bit integer
-constexpr std::size_t placement_size = 14;     // a 32-bit and a 64-bit integer: server key and prefix
-
 std::optional<udp::endpoint> resolve(const endpoint& at) {
     const net::host_and_port address = net::split(at);
     std::error_code code;
@@ -35,79 +29,6 @@
 
 } // namespace
 
-std::string encode_work_report(const work_report& report) {
-    std::size_t size = report_header_size;
-    const auto fits = [&size](std::size_t added) {
-        size += added;
-        return size <= max_report_size;
-    };
-    nlohmann::json started = nlohmann::json::array();
-    for (const started_work& work : report.started) {
-        if (!fits(started_work_size)) {
-            break;
-        }
-        started.push_back(work.server.value());
-        started.push_back(static_cast<std::uint32_t>(std::lround(std::max(0.0, work.prefill_ms))));
-    }
-    nlohmann::json placements = nlohmann::json::array();
-    for (const prefix_placement& placed : report.placements) {
-        if (!fits(placement_size)) {
-            break;
-        }
-        placements.push_back(placed.server.value());
-        placements.push_back(placed.prefix.value());
-    }
-    nlohmann::json refusing = nlohmann::json::array();
-    for (const server_key server : report.refusing) {
-        if (!fits(server_size)) {
-            break;
-        }
-        refusing.push_back(server.value());
-    }
-    const nlohmann::json message = {report.born.value(), report.number.value(), std::move(started),
-                                    std::move(placements), std::move(refusing)};
-    std::string bytes;
-    nlohmann::json::to_cbor(message, bytes);
-    return bytes;
-}
-
-result<work_report> decode_work_report(std::string_view bytes, const endpoint& from) {
-    const auto message = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    const auto is_unsigned = [](const nlohmann::json& value) { return value.is_number_unsigned(); };
-    const auto are_unsigned = [&is_unsigned](const nlohmann::json& value) {
-        return value.is_array() && std::all_of(value.begin(), value.end(), is_unsigned);
-    };
-    const auto are_pairs = [&are_unsigned](const nlohmann::json& value) {
-        return are_unsigned(value) && value.size() % 2 == 0;
-    };
-    const bool well_formed = message.is_array() && message.size() == 5 && is_unsigned(message[0]) &&
-                             is_unsigned(message[1]) && are_pairs(message[2]) && are_pairs(message[3]) &&
-                             are_unsigned(message[4]);
-    if (!well_formed) {
-        return fail(errc::malformed_document,
-                    "work report: expected two unsigned integers, two arrays of pairs "
-                    "of them and an array of them");
-    }
-    work_report report;
-    report.from = from;
-    report.born = incarnation(message[0].get<std::uint64_t>());
-    report.number = report_number(message[1].get<std::uint64_t>());
-    const auto& started = message[2];
-    for (std::size_t i = 0; i < started.size(); i += 2) {
-        report.started.push_back({server_key(started[i].get<std::uint64_t>()),
-                                  static_cast<double>(started[i + 1].get<std::uint64_t>())});
-    }
-    const auto& placements = message[3];
-    for (std::size_t i = 0; i < placements.size(); i += 2) {
-        report.placements.push_back({server_key(placements[i].get<std::uint64_t>()),
-                                     prefix_hash(placements[i + 1].get<std::uint64_t>())});
-    }
-    for (const auto& server : message[4]) {
-        report.refusing.emplace_back(server.get<std::uint64_t>());
-    }
-    return report;
-}
-
 struct peer_exchange::state : std::enable_shared_from_this<peer_exchange::state> {
     struct peer {
         udp::endpoint address;
@@ -278,7 +199,7 @@
     std::string bytes;
     for (auto& [address, receiver] : s.peers) {
         if (now - receiver.sent_at >= heartbeat_period) {
-            bytes = bytes.empty() ? s.next_report({}) : bytes;
+            bytes = bytes.empty() ? s.next_report(s.hooks.heartbeat()) : bytes;
             s.send(bytes, receiver);
         }
     }
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -31,11 +31,13 @@
     BOOST_OUTCOME_TRY(traffic, host.find<serving_traffic>(serving_traffic_name()));
     BOOST_OUTCOME_TRY(roles, host.find<serving_roles>(serving_roles_name()));
     BOOST_OUTCOME_TRY(peers, host.find<serving_peers>(serving_peers_name()));
+    BOOST_OUTCOME_TRY(quarantine, host.find<serving_quarantine>(serving_quarantine_name()));
     m_kernel = &host;
     m_log = log;
     m_traffic = traffic;
     m_roles = roles;
     m_peers = peers;
+    m_quarantine = quarantine;
     host.post_control([this] { open_store(*m_kernel); });
     host.post_control_every(settings_check_period, [this] { apply_settings("file changed", false); });
     return success();
@@ -45,6 +47,7 @@
     m_store = m_adapter.open_store(host.control_context(), m_settings.store);
     m_roles->open(m_store.authority);
     m_peers->open(object_key(m_settings.id.str()), m_store.host_entry, m_store.hosts);
+    m_quarantine->open(m_store.quarantines, m_store.quarantine_record);
     watcher_hooks servers = make_watcher_hooks(host, servers_kind);
     servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
     servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -70,6 +70,7 @@
     std::vector<endpoint> peer_list;
     kernel* host = nullptr;
     demand_hook demand_callback;
+    std::function<void(const quarantined_parts&)> quarantine_callback;
     time_point demand_since = std::chrono::steady_clock::now();
     std::thread thread;
 };
@@ -85,6 +86,11 @@
     };
     hooks.now = steady_clock_hook();
     hooks.random = seeded_random_hook(random_seed());
+    hooks.record_quarantine = [this](const quarantined_parts& begun) {
+        if (quarantine_callback) {
+            host->post_control([callback = quarantine_callback, begun] { callback(begun); });
+        }
+    };
     hooks.report_pending = [this] {
         if (peers) {
             peers->report_soon();
@@ -233,6 +239,7 @@
     }
     peer_exchange_hooks peer_hooks;
     peer_hooks.take_report = [&s] { return s.request_forwarder->take_report(); };
+    peer_hooks.heartbeat = [&s] { return s.request_forwarder->heartbeat(); };
     peer_hooks.received = [&s](const work_report& report) { s.request_forwarder->note_peer_report(report); };
     peer_hooks.now = steady_clock_hook();
     s.peers = std::make_unique<peer_exchange>(s.context, s.born, std::move(peer_hooks));
@@ -274,6 +281,17 @@
     asio::post(m_state->context, [s = m_state.get(), hook = std::move(hook)] { s->demand_callback = hook; });
 }
 
+void serving_traffic::on_quarantine(std::function<void(const quarantined_parts&)> hook) {
+    asio::post(m_state->context,
+               [s = m_state.get(), hook = std::move(hook)] { s->quarantine_callback = hook; });
+}
+
+void serving_traffic::adopt(std::vector<quarantined_parts> recorded) {
+    asio::post(m_state->context, [s = m_state.get(), recorded = std::move(recorded)] {
+        s->request_forwarder->adopt(recorded);
+    });
+}
+
 void serving_traffic::adopt(std::shared_ptr<const route_table> routes) {
     asio::post(m_state->context, [s = m_state.get(), routes = std::move(routes)] {
         s->request_forwarder->adopt(routes);
--- a/tests/unit-forwarder-quarantine.cpp
+++ b/tests/unit-forwarder-quarantine.cpp
@@ -58,4 +58,73 @@
     EXPECT_EQ(m_calls.size(), sent + 1) << "a prompt with the same first part is refused too";
 }
 
+// Guards against repeats of a request that has just ended an engine, which would end a second one.
+TEST_F(forwarder_quarantine_fixture, request_with_a_suspected_part_is_not_repeated_after_its_engine_ended) {
+    crash_engines_with("bad", 1);
+    const auto failed = send("/resume/x", {{"prompt", "100"}, {"shared-part", "bad"}});
+    const std::size_t sent = m_calls.size();
+    crash_engine();
+    EXPECT_EQ(m_calls.size(), sent);
+    EXPECT_EQ(failed->status, 502U);
+}
+
+// Guards against a part that is condemned because answers with it broke off at engines that are up.
+TEST_F(forwarder_quarantine_fixture, answers_that_break_off_at_running_engines_quarantine_nothing) {
+    for (int i = 0; i < 4; ++i) {
+        send_prompt("p");
+        (void)call();
+        fail_call(errc::backend_broken);
+        advance_time(milliseconds(30));
+        const auto query = m_start_queries.back()->hooks;
+        query.head(head(200));
+        query.body("0");
+        query.end();
+        advance_time(milliseconds(5000));
+    }
+    const std::size_t sent = m_calls.size();
+    send_prompt("p");
+    EXPECT_EQ(m_calls.size(), sent + 1);
+}
+
+// Guards against a planned roll of engines that condemns the parts of the prompts they had.
+TEST_F(forwarder_quarantine_fixture, engine_that_ends_while_draining_is_no_evidence) {
+    for (int i = 0; i < 4; ++i) {
+        send_prompt("p");
+        adopt_engines(true);
+        crash_engine();
+        adopt_engines(false);
+    }
+    EXPECT_TRUE(m_start_queries.empty());
+    const std::size_t sent = m_calls.size();
+    send_prompt("p");
+    EXPECT_EQ(m_calls.size(), sent + 1);
+}
+
+// Guards against engines that end because of requests which were under way when their part was quarantined,
+// and against an untrue "not run" for them.
+TEST_F(forwarder_quarantine_fixture, open_request_with_a_quarantined_part_is_cancelled_and_may_have_run) {
+    const auto open = send_prompt("bad");
+    const auto running = m_calls.back();
+    (void)call();
+    crash_engines_with("bad", 3);
+    EXPECT_TRUE(running->cancelled);
+    EXPECT_EQ(open->status, 502U);
+}
+
+// Guards against evidence that the other hosts never get, and against one that goes on sending such requests.
+TEST_F(forwarder_quarantine_fixture, quarantine_is_reported_and_a_reported_one_is_kept) {
+    crash_engines_with("bad", 3);
+    const work_report report = m_forwarder->heartbeat();
+    ASSERT_EQ(report.quarantine.quarantined.size(), 1U);
+    SetUp();
+    work_report from_peer;
+    from_peer.from = endpoint("h2:1");
+    from_peer.number = report_number(1);
+    from_peer.quarantine = report.quarantine;
+    m_forwarder->note_peer_report(from_peer);
+    const std::size_t sent = m_calls.size();
+    EXPECT_EQ(send_prompt("bad")->status, 503U);
+    EXPECT_EQ(m_calls.size(), sent);
+}
+
 } // namespace parsleypitch
