Send nothing to engines that say they leave or ask to be left alone

No header of the kind was read: a host learnt of the leaving from the store only, and avoided an engine that refused for at most 2.4 s of its own choosing, and not at all where no other was healthy. Change: the head of each answer is decoded into a server_notice; server_conditions holds what one start of a server has stated, placement never chooses a server that does not accept requests, its cache is not queried, and a request for which all servers are closed is refused at once with the time left. 421 comes from another server and says nothing. Times that are no numbers or negative are ignored, longer ones than an hour count as an hour.

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/fleet/backend_server_entry.hpp>
 #include <parsleypitch/forwarding/backend_protocol.hpp>
 #include <parsleypitch/forwarding/peer_work.hpp>
+#include <parsleypitch/forwarding/server_conditions.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
 #include <map>
@@ -54,6 +55,8 @@
     time_point prefill_done_at;
     /// @brief Sum of the corrections of `prefill_done_at` by observed ends.
     duration prefill_correction{0};
+    /// @brief What the server has said about itself in its answers.
+    server_conditions conditions;
     unsigned consecutive_failures = 0;
     unsigned consecutive_refusals = 0;
     /// @brief The server is not selected before this time unless no other server is available.
@@ -75,6 +78,8 @@
 
     /// @brief `excess_ms` decayed to `now`.
     [[nodiscard]] double recent_excess_ms(time_point now) const;
+    /// @brief Whether the server shuts down, as its entry or its answers say.
+    [[nodiscard]] bool leaving() const noexcept { return entry.draining || conditions.leaving(); }
     /// @brief Whether the last attempt failed. A server on probation gets one request at a time, to detect
     /// its recovery.
     [[nodiscard]] bool on_probation() const noexcept { return consecutive_failures > 0; }
@@ -102,7 +107,7 @@
     /// flight.
     void adopt(std::shared_ptr<const fleet_snapshot> snapshot);
 
-    /// @brief Servers of a service that are not draining.
+    /// @brief Servers of a service whose entries do not say that they are draining.
     [[nodiscard]] const std::vector<backend_state*>& usable_servers(const backend_service_id& service) const;
     [[nodiscard]] backend_state* find(const backend_server_id& id);
     [[nodiscard]] const fleet_snapshot* snapshot() const noexcept { return m_snapshot.get(); }
@@ -128,6 +133,12 @@
     /// @param result empty if this host cancelled the attempt, which says nothing about the server
     void note_attempt_ended(const backend_server_id& id, std::optional<attempt_result> result,
                             time_point now);
+    /// @brief Applies what a server said about itself.
+    /// @return whether it is new that the server leaves or wants no requests for a time
+    bool note_conditions(const backend_server_id& id, const server_notice& notice, time_point now);
+    /// @brief Time until the first server of a service accepts requests again; zero if one does now or none
+    /// will.
+    [[nodiscard]] duration time_to_accept(const backend_service_id& service, time_point now) const;
     /// @brief Records that the server has prefilled the parts of a prompt.
     void note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts, time_point now);
 
--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -6,6 +6,7 @@
 #include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
 #include <parsleypitch/forwarding/crash_evidence.hpp>
+#include <parsleypitch/forwarding/server_conditions.hpp>
 #include <parsleypitch/http/message.hpp>
 
 #include <functional>
@@ -89,6 +90,8 @@
     bool sealed = false;
     /// @brief The server states that it did not run the request.
     bool not_run = false;
+    /// @brief What the server says about itself.
+    server_notice notice;
 };
 
 /// @brief Number of tokens of a prompt part that an engine has cached after a change; 0 if it was evicted.
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -223,6 +223,22 @@
     }
 }
 
+bool backend_pool::note_conditions(const backend_server_id& id, const server_notice& notice, time_point now) {
+    backend_state* state = find(id);
+    return state != nullptr && state->conditions.apply(notice, now);
+}
+
+duration backend_pool::time_to_accept(const backend_service_id& service, time_point now) const {
+    std::optional<duration> shortest;
+    for (const backend_state* each : usable_servers(service)) {
+        if (!each->leaving()) {
+            const duration wait = std::max(duration::zero(), each->conditions.closed_until() - now);
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest.value_or(duration::zero());
+}
+
 void backend_pool::note_cached(const backend_server_id& id, const std::vector<prompt_part>& parts,
                                time_point now) {
     const prompt_prefixes prompt(parts);
--- a/src/forwarding/cache_poller.cpp
+++ b/src/forwarding/cache_poller.cpp
@@ -55,7 +55,7 @@
     std::vector<candidate> candidates;
     for (const auto& [id, server] : m_shared->pool.all()) {
         const backend_service* service = m_shared->routes->find(server.entry.service);
-        if (service == nullptr || !service->engine || server.entry.draining) {
+        if (service == nullptr || !service->engine || server.leaving()) {
             continue;
         }
         const std::size_t waiting = service->engine->max_waiting_cache_queries;
@@ -79,11 +79,15 @@
 
 void cache_poller::send_query(const backend_server_id& id) {
     const backend_state* server = m_shared->pool.find(id);
-    if (server == nullptr || server->entry.draining || !m_selected.contains(id)) {
+    if (server == nullptr || server->leaving() || !m_selected.contains(id)) {
         m_active.erase(id);
         m_short_polls_left.erase(id);
         return;
     }
+    if (!server->conditions.accepts(m_shared->hooks.now())) {
+        schedule_query(id);
+        return;
+    }
     struct pending_query {
         std::string body;
         http::call_handle call;
@@ -101,7 +105,10 @@
     hooks.matches_request = [shared = m_shared](const http::response_head& head) {
         return shared->protocol.decode_response_head(head).request.empty();
     };
-    hooks.head = [state](const http::response_head& head) { state->status = head.status; };
+    hooks.head = [state, shared = m_shared, id](const http::response_head& head) {
+        state->status = head.status;
+        shared->note_conditions(id, head);
+    };
     hooks.body = [state](const std::string& part) { state->body.append(part); };
     hooks.end = [self, state, id] {
         constexpr unsigned status_ok = 200;
--- a/src/forwarding/crash_detector.cpp
+++ b/src/forwarding/crash_detector.cpp
@@ -18,7 +18,7 @@
 void crash_detector::on_request_lost(const backend_server_id& engine, const generation_work& work) {
     const auto shared = m_shared.lock();
     const backend_state* server = shared ? shared->pool.find(engine) : nullptr;
-    if (server == nullptr || server->entry.draining) { // a planned end
+    if (server == nullptr || server->leaving()) { // a planned end
         return;
     }
     const std::vector<prompt_part_key> parts = shared->quarantine.unproven(shared_part_keys(work));
@@ -56,7 +56,7 @@
         on_ended(engine, "new start in the directory");
         return;
     }
-    if (server == nullptr || server->entry.draining || suspected.checks == detail::max_crash_checks) {
+    if (server == nullptr || server->leaving() || suspected.checks == detail::max_crash_checks) {
         shared->log->info("server_end_unproven", {{"server", engine}, {"checks", suspected.checks}});
         m_suspected.erase(found);
         return;
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -94,12 +94,17 @@
     }
 }
 
+void forwarded_request::refuse_unplaced() {
+    const duration wait = m_shared->pool.time_to_accept(m_service->id, now());
+    refuse(fail(errc::no_backend_server, m_service->id.str() + ": no server accepts new requests"),
+           std::max(wait, m_shared->policy.retry_after_hint));
+}
+
 void forwarded_request::send_plain() {
     const auto server =
         place_call(m_shared->pool, m_service->id, constraints(), m_shared->policy.placement, now());
     if (!server) {
-        refuse(fail(errc::no_backend_server, m_service->id.str() + ": no server accepts new requests"),
-               m_shared->policy.retry_after_hint);
+        refuse_unplaced();
         return;
     }
     attempt next;
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -53,6 +53,8 @@
     void hold(const generation_placement& plan, admission_decision decision);
     void start_generation(const generation_placement& plan);
     void send_plain();
+    /// Refuses the request because no server of its service can take it.
+    void refuse_unplaced();
     void send_continuation(const kv_source& source, const availability_zone_id& near_zone);
     void begin_attempt(attempt next);
     [[nodiscard]] placement_constraints constraints() const;
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -14,6 +14,7 @@
     m_attempt->metadata = m_shared->protocol.decode_response_head(head);
     m_attempt->response_started = true;
     m_shared->pool.note_bytes_received(m_attempt->server.id, now());
+    m_shared->note_conditions(m_attempt->server.id, head);
     const bool must_be_sealed = m_attempt->stage == attempt_stage::whole && detail::is_success(head.status);
     if (must_be_sealed && !m_attempt->metadata.sealed) {
         m_attempt->call.cancel();
--- a/src/forwarding/forwarded_request_generation.cpp
+++ b/src/forwarding/forwarded_request_generation.cpp
@@ -13,8 +13,7 @@
     const auto plan = place_generation(m_shared->pool, *m_service, *m_call.work, constraints(),
                                        m_shared->placement_for(m_service->id), now());
     if (!plan) {
-        refuse(fail(errc::no_backend_server, m_service->id.str() + ": no engine accepts new requests"),
-               m_shared->policy.retry_after_hint);
+        refuse_unplaced();
         return;
     }
     // Another attempt at a request has waited before.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -29,6 +29,20 @@
     }
 }
 
+void forwarder::state::note_conditions(const backend_server_id& server, const http::response_head& head) {
+    constexpr unsigned misdirected = 421; // answered by another server at the same address
+    if (head.status == misdirected) {
+        return;
+    }
+    const server_notice notice = protocol.decode_response_head(head).notice;
+    if (pool.note_conditions(server, notice, hooks.now())) {
+        log->info("server_condition", {{"server", server},
+                                       {"leaving", notice.leaving},
+                                       {"retry_after_ms", notice.retry_after.value_or(duration::zero())}});
+        count("parsleypitch_server_conditions_total", {{"kind", notice.leaving ? "leaving" : "closed"}});
+    }
+}
+
 void forwarder::state::check_held(const backend_service_id& service) {
     dispatcher_of(service).check_soon();
 }
@@ -172,13 +186,14 @@
     }
     std::map<std::string, unsigned> by_state;
     for (const auto& [id, server] : m_state->pool.all()) {
-        const char* condition = server.entry.draining      ? "draining"
-                                : now < server.avoid_until ? "avoided"
-                                : server.on_probation()    ? "probation"
-                                                           : "usable";
+        const char* condition = server.leaving()                  ? "draining"
+                                : !server.conditions.accepts(now) ? "closed"
+                                : now < server.avoid_until        ? "avoided"
+                                : server.on_probation()           ? "probation"
+                                                                  : "usable";
         ++by_state[std::string(condition) + "," + std::string(to_string(server.entry.role))];
     }
-    for (const std::string condition : {"draining", "avoided", "probation", "usable"}) {
+    for (const std::string condition : {"draining", "closed", "avoided", "probation", "usable"}) {
         for (const engine_role role : {engine_role::mixed, engine_role::prefill, engine_role::decode}) {
             gauge("parsleypitch_backend_servers",
                   {{"condition", condition}, {"role", std::string(to_string(role))}},
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -63,6 +63,8 @@
     /// Checks the held requests of a service, because one of its engines may have room.
     void check_held(const backend_service_id& service);
 
+    /// Applies what a server says about itself in the head of an answer.
+    void note_conditions(const backend_server_id& server, const http::response_head& head);
     /// Weighs the end of an engine that this host has observed.
     void note_crash(const crash_evidence& evidence);
     void note_quarantine_report(const quarantine_report& report);
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -32,6 +32,7 @@
 }
 
 /// Healthy untried servers that match the predicate, or all untried ones that match if none is healthy.
+/// Servers that have asked to be left alone are never among them.
 template <class Predicate>
 std::vector<const backend_state*> candidates(const backend_pool& pool, const backend_service_id& service,
                                              const placement_constraints& constraints, duration silence,
@@ -39,7 +40,7 @@
     std::vector<const backend_state*> untried;
     std::vector<const backend_state*> healthy;
     for (const backend_state* each : pool.usable_servers(service)) {
-        if (!matches(*each) || is_excluded(*each, constraints)) {
+        if (!matches(*each) || is_excluded(*each, constraints) || !each->conditions.accepts(now)) {
             continue;
         }
         untried.push_back(each);
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -156,6 +156,10 @@
             }
             metadata.sealed = head.headers.find("seal") != nullptr;
             metadata.not_run = head.headers.find("not-run") != nullptr || head.status == 421;
+            metadata.notice.leaving = head.headers.find("leaving") != nullptr;
+            if (const std::string* seconds_left = head.headers.find("retry-after")) {
+                metadata.notice.retry_after = from_seconds(std::stod(*seconds_left));
+            }
             return metadata;
         };
         p.decode_prefill = [](const std::string& body) -> result<kv_handle_id> {
--- a/tests/load_harness.hpp
+++ b/tests/load_harness.hpp
@@ -170,7 +170,7 @@
         };
         protocol.encode_attempt = [](const inbound_call& call, const attempt_spec&) { return call.message; };
         protocol.decode_response_head = [](const http::response_head& head) {
-            return response_metadata{request_id(*head.headers.find("id")), true, false};
+            return response_metadata{request_id(*head.headers.find("id")), true, false, {}};
         };
         protocol.encode_start_query = [] { return http::request{"GET", "/start", {}, "", true}; };
         protocol.decode_start = [](const std::string&) { return std::optional<incarnation>(); };
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -251,6 +251,24 @@
                     .sealed);
 }
 
+// Guards against engines whose wish to be left alone is not read, and against values that are no times.
+TEST_F(request_codec_fixture, decode_response_head_reads_what_the_engine_says_of_itself) {
+    const auto notice = [this](unsigned status, const std::string& name, const std::string& value) {
+        http::response_head head;
+        head.status = status;
+        head.headers.add(name, value);
+        return m_protocol.decode_response_head(head).notice;
+    };
+    EXPECT_TRUE(notice(200, "Server-Leaving", "1").leaving);
+    EXPECT_FALSE(notice(200, "Server-Leaving", "0").leaving);
+    EXPECT_EQ(notice(503, "Retry-After", "1.5").retry_after, std::optional<duration>(milliseconds(1500)));
+    EXPECT_FALSE(notice(200, "Retry-After", "1.5").retry_after);
+    for (const char* invalid : {"-1", "nan", "inf", "soon", "", "1e999", "2 s"}) {
+        EXPECT_FALSE(notice(503, "Retry-After", invalid).retry_after) << invalid;
+    }
+    EXPECT_EQ(notice(503, "Retry-After", "1e30").retry_after, std::optional<duration>(max_retry_after));
+}
+
 // Guards against wrong assumptions about the cache of an engine.
 TEST_F(request_codec_fixture, decode_cache_report_reads_changes_and_gaps) {
     const auto report = m_protocol.decode_cache_report(
