Abort a resumed stream when its next engine answers with a failure

Callers saw the text of a failure, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete. Cause: the end of an attempt looked at the status alone. A failure below 500 other than 408, 421 and 429 counts as the engine's answer and was written to the caller, also when events of an earlier engine had been written before it. A success of another content type and events without an id were taken for the rest of the stream. The class of fault is a decision that does not know how much of the answer the caller has. Change: an attempt knows whether it resumes a stream. Then a failure of any status ends the attempt, and the stream is resumed elsewhere or aborted; the content type must be that of the stream, and events need ids, except comments.

--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -136,6 +136,7 @@
 
 void forwarded_request::begin_attempt(attempt next) {
     next.started = now();
+    next.resumes_stream = m_stream_begun;
     attempt_spec spec;
     spec.target = next.server.id;
     spec.stage = next.stage;
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -33,6 +33,8 @@
         placement_target server;
         attempt_stage stage = attempt_stage::whole;
         std::optional<kv_source> source;
+        /// The caller has received events of an earlier attempt.
+        bool resumes_stream = false;
         time_point started;
         /// End of the prefill according to the known work of the server.
         time_point expected_prefill_end;
@@ -124,6 +126,8 @@
 
     event_splitter m_events;
     bool m_stream_begun = false;
+    /// Content type of the stream that the caller receives.
+    std::string m_stream_type;
     std::optional<stream_event_id> m_last_event;
     std::optional<duration> m_first_event_after;
     std::uint64_t m_event_count = 0;
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -9,6 +9,19 @@
 
 namespace parsleypitch {
 
+namespace detail {
+
+std::string content_type(const http::response_head& head) {
+    const std::string* type = head.headers.find("content-type");
+    return type == nullptr ? "" : *type;
+}
+
+bool is_comment(const stream_event& event) {
+    return event.bytes.starts_with(":");
+}
+
+} // namespace detail
+
 void forwarded_request::on_head(const http::response_head& head) {
     m_attempt->head = head;
     m_attempt->metadata = m_shared->protocol.decode_response_head(head);
@@ -19,6 +32,11 @@
     if (must_be_sealed && !m_attempt->metadata.sealed) {
         m_attempt->call.cancel();
         on_failed(fail(errc::backend_broken, "success response without a seal"));
+        return;
+    }
+    if (must_be_sealed && m_attempt->resumes_stream && detail::content_type(head) != m_stream_type) {
+        m_attempt->call.cancel();
+        on_failed(fail(errc::backend_broken, "response of another content type than the stream before it"));
     }
 }
 
@@ -49,6 +67,10 @@
                                                 std::to_string(m_last_event->value()));
             break;
         }
+        if (!event.id && m_attempt->resumes_stream && !detail::is_comment(event)) {
+            broken = fail(errc::backend_broken, "event without an id in a resumed stream");
+            break;
+        }
         if (event.id) {
             m_last_event = event.id;
         }
@@ -85,6 +107,7 @@
     }
     if (!m_stream_begun) {
         m_stream_begun = true;
+        m_stream_type = detail::content_type(m_attempt->head);
         m_ran = run_state::ran;
         http::response_head head = m_attempt->head;
         http::remove_hop_by_hop(head.headers, {});
@@ -146,7 +169,9 @@
         return;
     }
     http::response answer{m_attempt->head, std::move(m_attempt->body)};
-    if (status >= detail::first_server_failure || detail::promises_not_run(status)) {
+    // Whatever its status, a failure cannot be passed on in the middle of a stream.
+    if (status >= detail::first_server_failure || detail::promises_not_run(status) ||
+        m_attempt->resumes_stream) {
         finish_attempt(attempt_result::failed);
         // A status that means "not run" is not passed on, because the server did not prove it.
         if (!detail::promises_not_run(status)) {
--- a/tests/unit-forwarder-faults.cpp
+++ b/tests/unit-forwarder-faults.cpp
@@ -37,6 +37,10 @@
              [](fixture& f) {
                  f.respond(503, {{"seal", "s"}}, "failed");
              }},
+            {"not_found", true, false,
+             [](fixture& f) {
+                 f.respond(404, {{"seal", "s"}}, "no such path");
+             }},
             {"success_without_seal", true, false, [](fixture& f) { f.respond(200, {}, "ok"); }},
             {"broken_after_head", true, false, [](fixture& f) { f.fail_after_body(""); }},
             {"broken_within_event", true, true,
@@ -198,6 +202,8 @@
             EXPECT_EQ(m_caller->body, m_caller->ended ? whole : whole.substr(0, m_caller->body.size()));
             EXPECT_EQ(m_caller->body.size() % events(1, 1).size(), 0U) << "incomplete event";
             EXPECT_NE(m_caller->ended, m_caller->aborted);
+        } else if (route.streams) {
+            EXPECT_FALSE(m_caller->streaming) << "a failure in the middle of a stream";
         } else if (status == 200) {
             EXPECT_EQ(m_caller->body, "ok");
         }
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -206,6 +206,22 @@
     EXPECT_TRUE(call().hooks.matches_request(head(200)));
 }
 
+// Guards against "not run" for a request that an engine runs, because the engine has written an earlier
+// refusal once more.
+TEST_F(forwarder_fixture, refusal_that_does_not_name_the_attempt_is_rejected) {
+    adopt_fleet(true);
+    for (const char* target : {"/once/1", "/again/1", "/stream/1", "/resume/1"}) {
+        send(target, {{"prompt", "20000"}});
+        for (const unsigned status : {408U, 421U, 429U, 503U}) {
+            http::response_head other = head(status, {{"not-run", "1"}});
+            other.headers.set("id", "r0");
+            EXPECT_FALSE(call().hooks.matches_request(other)) << target << " " << status;
+            other.headers.remove("id");
+            EXPECT_FALSE(call().hooks.matches_request(other)) << target << " " << status;
+        }
+    }
+}
+
 // Guards against requests that stay open past their deadline.
 TEST_F(forwarder_fixture, call_without_response_before_deadline_gets_504) {
     adopt_fleet();
@@ -288,6 +304,42 @@
     EXPECT_EQ(caller->body, "id: 1\ndata: a\n\n");
 }
 
+// Guards against the text of a failure in the middle of a stream that another engine was to continue.
+TEST_F(stream_forwarder_fixture, failure_of_the_engine_that_resumes_a_stream_aborts_it) {
+    for (const unsigned status : {302U, 400U, 404U, 413U, 500U, 503U}) {
+        m_calls.clear();
+        SetUp();
+        const auto caller = send_prompt("/resume/1");
+        begin_stream("id: 1\ndata: a\n\n");
+        fail_call(errc::backend_broken);
+        respond(status, {{"seal", "s"}}, "failure\n\n");
+        EXPECT_TRUE(caller->aborted) << status;
+        EXPECT_EQ(caller->body, "id: 1\ndata: a\n\n") << status;
+        EXPECT_EQ(caller->final_responses, 1) << status;
+    }
+}
+
+// Guards against a success that is no stream and ends up in the middle of one.
+TEST_F(stream_forwarder_fixture, success_of_another_content_type_does_not_resume_a_stream) {
+    const auto caller = send_prompt("/resume/1");
+    begin_stream("id: 1\ndata: a\n\n");
+    fail_call(errc::backend_broken);
+    respond(200, {{"seal", "s"}, {"Content-Type", "application/json"}}, "{\"error\":1}\n\n");
+    EXPECT_TRUE(caller->aborted);
+    EXPECT_EQ(caller->body, "id: 1\ndata: a\n\n");
+}
+
+// Guards against an error event without an id that is taken for a part of the stream before it.
+TEST_F(stream_forwarder_fixture, resumed_stream_with_an_event_without_id_is_aborted) {
+    const auto caller = send_prompt("/resume/1");
+    begin_stream("id: 1\ndata: a\n\n");
+    fail_call(errc::backend_broken);
+    begin_stream(": comment\n\nid: 2\ndata: b\n\nevent: error\ndata: x\n\n");
+    EXPECT_TRUE(caller->aborted);
+    EXPECT_EQ(caller->body.find("error"), std::string::npos);
+    EXPECT_NE(caller->body.find("id: 2\ndata: b\n\n"), std::string::npos);
+}
+
 // Guards against a broken stream that looks complete, and against repeating a stream that is not resumable.
 TEST_F(stream_forwarder_fixture, broken_stream_that_is_not_resumable_is_aborted) {
     const auto caller = send_prompt("/stream/1");
--- a/tests/unit-http-connections.cpp
+++ b/tests/unit-http-connections.cpp
@@ -349,6 +349,44 @@
     EXPECT_EQ(m_events, "sent 200 [ab] backend_broken ");
 }
 
+// Guards against a head that breaks off and is delivered as a response with an empty or short body.
+TEST_F(http_client_fixture, response_cut_anywhere_in_its_head_fails_the_call) {
+    for (const std::string whole : {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\n",
+                                    "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                    "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n"}) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            m_events.clear();
+            start();
+            run(milliseconds(2));
+            {
+                tcp::socket server_side = accept();
+                send(server_side, whole.substr(0, length));
+            }
+            run(milliseconds(2));
+            EXPECT_EQ(m_events, "sent backend_broken ") << whole.substr(0, length);
+        }
+    }
+}
+
+// Guards against an earlier refusal, written once more, that answers the next request on its connection.
+TEST_F(http_client_fixture, late_copy_of_an_unrelated_refusal_is_dropped_before_the_response) {
+    start();
+    run();
+    tcp::socket server_side = accept();
+    send(server_side, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run();
+    m_events.clear();
+    start();
+    run();
+    send(server_side, "HTTP/1.1 503 Full\r\nForeign: 1\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nfull");
+    run();
+    EXPECT_EQ(m_events, "sent ");
+    send(server_side, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    run();
+    EXPECT_EQ(m_events, "sent 200 [yes] end ");
+    EXPECT_EQ(m_client->connections_opened(), 1U);
+}
+
 // Guards against a call that never ends when the response has no length.
 TEST_F(http_client_fixture, response_without_length_ends_when_the_connection_closes) {
     start();
