Keep what a leaving server has said when its entry is away for a while

Callers would see requests cut off by an engine that ends: the state of a server was erased with its entry. When an entry that had lapsed came back for the same start, as after an outage of the store, the host had forgotten that the engine leaves or wants no requests, and sent to it again (DRAIN, BUDGET). Cause: facts about one start of an engine were kept with its directory entry. The class of fault is a belief whose life is tied to another one. Change: conditions of servers without an entry are remembered by id and start, 256 at most; the oldest yield. Weighed: asking the engine before its first request (a call for each entry that comes back).

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -26,6 +26,8 @@
 inline constexpr milliseconds cache_report_validity{5000};
 /// @brief Starts and placements kept for the next report to the other entry hosts; further ones are dropped.
 inline constexpr std::size_t max_reported_items = 400;
+/// @brief Servers without an entry whose stated conditions are remembered.
+inline constexpr std::size_t max_unlisted_servers = 256;
 /// @brief Part of the own prefill work in flight that an engine has at least left, whatever is reported.
 inline constexpr double min_own_share_left = 0.5;
 
@@ -159,12 +161,23 @@
     [[nodiscard]] double queued_prefill_ms(const backend_state& server, double no_peer_factor,
                                            time_point now) const;
     [[nodiscard]] std::size_t peers() const noexcept { return m_peers.size(); }
+    /// @brief Servers without an entry whose stated conditions are remembered.
+    [[nodiscard]] std::size_t unlisted_servers() const noexcept { return m_unlisted.size(); }
 
     /// @brief Estimated number of tokens at the start of a prompt that the server has cached.
     [[nodiscard]] double cached_tokens(const backend_server_id& id, const prompt_prefixes& prompt,
                                        time_point now) const;
 
   private:
+    /// A server whose entry is gone. Entries also lapse while the store is away, and the server is still up.
+    struct unlisted_server {
+        incarnation born;
+        server_conditions conditions;
+        time_point since;
+    };
+
+    void remember_conditions(const backend_state& server, time_point now);
+    void restore_conditions(backend_state& server);
     [[nodiscard]] double reported_tokens(const backend_state& server, const prompt_prefixes& prompt) const;
     [[nodiscard]] double placed_tokens(const backend_server_id& id, const prompt_prefixes& prompt,
                                        const prefix_index& placements, time_point now) const;
@@ -172,6 +185,7 @@
     std::shared_ptr<const fleet_snapshot> m_snapshot;
     std::map<backend_server_id, backend_state> m_states;
     std::map<backend_service_id, std::vector<backend_state*>> m_usable;
+    std::map<backend_server_id, unlisted_server> m_unlisted;
     peer_table m_peers;
     /// Prompts sent by this host that cache reports may not show yet.
     prefix_index m_prefixes{{.half_life = sent_prefix_half_life}};
--- a/include/parsleypitch/forwarding/server_conditions.hpp
+++ b/include/parsleypitch/forwarding/server_conditions.hpp
@@ -36,6 +36,8 @@
         return leaves || closes;
     }
     [[nodiscard]] bool leaving() const noexcept { return m_leaving; }
+    /// @brief Whether the server has never stated a condition.
+    [[nodiscard]] bool empty() const noexcept { return !m_leaving && m_closed_until == time_point(); }
     [[nodiscard]] time_point closed_until() const noexcept { return m_closed_until; }
     /// @brief Whether this host may send a request to the server now.
     [[nodiscard]] bool accepts(time_point now) const { return !m_leaving && m_closed_until <= now; }
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -100,6 +100,10 @@
         }
         m_ids.try_emplace(key_of(entry.id), entry.id);
         backend_state& state = m_states[entry.id];
+        if (known == m_states.end()) {
+            state.entry = entry;
+            restore_conditions(state);
+        }
         if (state.entry.role != entry.role) { // the change of its role, for which it refused work, is over
             state.consecutive_refusals = 0;
             state.avoid_until = {};
@@ -109,9 +113,10 @@
             m_usable[entry.service].push_back(&state);
         }
     }
-    std::erase_if(m_states, [this, &listed](const auto& each) {
+    std::erase_if(m_states, [this, &listed, now = snapshot->confirmed_at](const auto& each) {
         const bool gone = !listed.contains(each.first);
         if (gone) {
+            remember_conditions(each.second, now);
             m_prefixes.remove_server(each.first);
             m_placements.remove_server(each.first);
             m_ids.erase(key_of(each.first));
@@ -121,6 +126,29 @@
     m_snapshot = std::move(snapshot);
 }
 
+void backend_pool::remember_conditions(const backend_state& server, time_point now) {
+    if (server.conditions.empty()) {
+        return;
+    }
+    m_unlisted[server.entry.id] = {server.entry.born, server.conditions, now};
+    if (m_unlisted.size() > max_unlisted_servers) {
+        m_unlisted.erase(
+            std::min_element(m_unlisted.begin(), m_unlisted.end(),
+                             [](const auto& a, const auto& b) { return a.second.since < b.second.since; }));
+    }
+}
+
+void backend_pool::restore_conditions(backend_state& server) {
+    const auto known = m_unlisted.find(server.entry.id);
+    if (known == m_unlisted.end()) {
+        return;
+    }
+    if (known->second.born == server.entry.born) {
+        server.conditions = known->second.conditions;
+    }
+    m_unlisted.erase(known);
+}
+
 const std::vector<backend_state*>& backend_pool::usable_servers(const backend_service_id& service) const {
     static const std::vector<backend_state*> none;
     const auto found = m_usable.find(service);
--- a/tests/unit-forwarder-conditions.cpp
+++ b/tests/unit-forwarder-conditions.cpp
@@ -74,6 +74,33 @@
     EXPECT_TRUE(contains(targets_of_many(), leaving));
 }
 
+// Guards against new work for a leaving server whose entry was away for a while, as after an outage of the
+// store.
+TEST_F(forwarder_conditions_fixture, server_that_leaves_is_not_used_again_when_its_entry_comes_back) {
+    send("/again/x");
+    const std::string leaving = call().to.str();
+    respond(200, {{"seal", "s"}, {"leaving", "1"}}, "body");
+    m_forwarder->adopt(std::make_shared<const fleet_snapshot>());
+    adopt_fleet();
+    EXPECT_FALSE(contains(targets_of_many(), leaving));
+}
+
+// Guards against memory that grows with each server that leaves.
+TEST_F(forwarder_conditions_fixture, conditions_of_unlisted_servers_are_bounded) {
+    backend_pool pool;
+    server_notice notice;
+    notice.leaving = true;
+    for (std::size_t i = 0; i < 2 * max_unlisted_servers; ++i) {
+        const std::string id = "s" + std::to_string(i);
+        auto fleet = std::make_shared<fleet_snapshot>();
+        fleet->confirmed_at = m_now += milliseconds(1);
+        fleet->servers.push_back(server(id.c_str(), "plain", engine_role::mixed));
+        pool.adopt(fleet);
+        pool.note_conditions(backend_server_id(id), notice, m_now);
+    }
+    EXPECT_LE(pool.unlisted_servers(), max_unlisted_servers);
+}
+
 // Guards against times that are no numbers a host could follow, and against a server that is left alone for
 // ever.
 TEST_F(forwarder_conditions_fixture, time_to_stay_away_is_bounded_and_negative_ones_are_ignored) {
