Decode and log the limits that engines name

No header of the kind was read, so the log could not tell whether a host was not told the limit of an engine, ignored it or kept to it alone while the sum of all hosts exceeded it. Requests are placed as before.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -36,9 +36,12 @@
     }
     const server_notice notice = protocol.decode_response_head(head).notice;
     if (pool.note_conditions(server, notice, hooks.now())) {
-        log->info("server_condition", {{"server", server},
-                                       {"leaving", notice.leaving},
-                                       {"retry_after_ms", notice.retry_after.value_or(duration::zero())}});
+        log->info("server_condition",
+                  {{"server", server},
+                   {"leaving", notice.leaving},
+                   {"retry_after_ms", notice.retry_after.value_or(duration::zero())},
+                   {"limited", notice.limit.has_value()},
+                   {"limit_per_second", notice.limit.value_or(request_rate{}).per_second}});
         count("parsleypitch_server_conditions_total", {{"kind", notice.leaving ? "leaving" : "closed"}});
     }
 }
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -156,6 +156,9 @@
             }
             metadata.sealed = head.headers.find("seal") != nullptr;
             metadata.not_run = head.headers.find("not-run") != nullptr || head.status == 421;
+            if (const std::string* limit = head.headers.find("limit")) {
+                metadata.notice.limit = request_rate{std::stod(*limit)};
+            }
             metadata.notice.leaving = head.headers.find("leaving") != nullptr;
             if (const std::string* seconds_left = head.headers.find("retry-after")) {
                 metadata.notice.retry_after = from_seconds(std::stod(*seconds_left));
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -267,6 +267,11 @@
         EXPECT_FALSE(notice(503, "Retry-After", invalid).retry_after) << invalid;
     }
     EXPECT_EQ(notice(503, "Retry-After", "1e30").retry_after, std::optional<duration>(max_retry_after));
+    EXPECT_EQ(notice(200, "Server-Limit", "2.5").limit, std::optional(request_rate{2.5}));
+    EXPECT_EQ(notice(200, "Server-Limit", "1e300").limit, std::optional(max_limit));
+    for (const char* invalid : {"-1", "nan", "inf", "none", ""}) {
+        EXPECT_FALSE(notice(200, "Server-Limit", invalid).limit) << invalid;
+    }
 }
 
 // Guards against wrong assumptions about the cache of an engine.
