--- a/tests/unit-forwarder-conditions.cpp
+++ b/tests/unit-forwarder-conditions.cpp
@@ -113,4 +113,28 @@
         << "one log line, not one for each answer";
 }
 
+// Guards against a server that gets far more requests than the limit that it has named.
+TEST_F(forwarder_conditions_fixture, server_with_a_limit_gets_no_more_than_its_rate) {
+    for (int i = 0; i < 3; ++i) { // every server names one
+        send("/again/x");
+        respond(200, {{"seal", "s"}, {"limit", "2"}}, "body");
+    }
+    m_calls.clear();
+    for (int i = 0; i < 80; ++i) {
+        const std::size_t before = m_calls.size();
+        const auto asked = send("/again/x");
+        if (m_calls.size() > before) {
+            respond(200, {{"seal", "s"}, {"limit", "2"}}, "body");
+        } else {
+            EXPECT_EQ(asked->status, 503U) << "a request that can't be served has to be refused at once";
+        }
+        advance_time(milliseconds(50));
+    }
+    const auto sent = targets();
+    for (const char* server : {"p1:1", "p2:1", "p3:1"}) {
+        EXPECT_LE(std::count(sent.begin(), sent.end(), server), 2 * 4 + 1) << server;
+        EXPECT_GE(std::count(sent.begin(), sent.end(), server), 4) << server << " is not used";
+    }
+}
+
 } // namespace parsleypitch
