Divide the limit that an engine names among the entry hosts

Cause: no host acted on the limit, and each chose engines by its own estimate. The class of fault is a capacity that all hosts share and none of them counts. Change: server_conditions holds the limit of one start of a server. The others send nothing to it. Both halves of a generation and repeats count; cache queries stop. An engine that may get no request now is no candidate, and a request for which no engine is left is refused at once with the time to come back. Hosts tell each other limits, their end and leaving in their reports, every 2 s while they last. A limit that nobody confirms is tried again after 10 s, by one rank after the other. Weighed: even shares of all hosts (with 25 hosts and a limit of 2 less than one request in 4 s each); shares by need (a round of messages for each change); leases on tokens (a coordinator, or a call for each).

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -135,9 +135,12 @@
     /// @param result empty if this host cancelled the attempt, which says nothing about the server
     void note_attempt_ended(const backend_server_id& id, std::optional<attempt_result> result,
                             time_point now);
-    /// @brief Applies what a server said about itself.
-    /// @return whether it is new that the server leaves or wants no requests for a time
-    bool note_conditions(const backend_server_id& id, const server_notice& notice, time_point now);
+    /// @brief Applies what a server said about itself; changes are told to the other hosts.
+    /// @param states_limit the answer would name a limit if there were one
+    server_conditions::changes note_conditions(const backend_server_id& id, const server_notice& notice,
+                                               bool states_limit, time_point now);
+    /// @brief Sets the entry hosts among which the limits of servers are divided.
+    void set_hosts(const endpoint& own, const std::vector<endpoint>& peers, time_point now);
     /// @brief Time until the first server of a service accepts requests again; zero if one does now or none
     /// will.
     [[nodiscard]] duration time_to_accept(const backend_service_id& service, time_point now) const;
@@ -152,10 +155,11 @@
     void note_placed(const backend_server_id& id, std::span<const prompt_part> shared, time_point now);
 
     /// @brief Applies a report of another entry host.
-    void note_peer_report(const work_report& report, time_point now);
+    /// @return servers of which the report says something new
+    std::vector<backend_server_id> note_peer_report(const work_report& report, time_point now);
     void expire_peers(time_point now) { m_peers.expire(now); }
     /// @brief Returns the work started and the placements since the last call; the sender fills in the rest.
-    [[nodiscard]] work_report take_report() { return std::exchange(m_new_report, {}); }
+    [[nodiscard]] work_report take_report(time_point now);
     /// @brief Prefill work left on a server from all entry hosts, in milliseconds of an unloaded engine.
     /// @param no_peer_factor multiplies the own work while no other host is known to be up
     [[nodiscard]] double queued_prefill_ms(const backend_state& server, double no_peer_factor,
@@ -177,7 +181,12 @@
     };
 
     void remember_conditions(const backend_state& server, time_point now);
-    void restore_conditions(backend_state& server);
+    void restore_conditions(backend_state& server, time_point now);
+    /// Adds what a server has said to the next report.
+    void report_conditions(const backend_state& server);
+    void apply_rank(backend_state& server, time_point now);
+    /// @return whether the condition is new to this host
+    bool note_reported_condition(const reported_condition& condition, time_point now);
     [[nodiscard]] double reported_tokens(const backend_state& server, const prompt_prefixes& prompt) const;
     [[nodiscard]] double placed_tokens(const backend_server_id& id, const prompt_prefixes& prompt,
                                        const prefix_index& placements, time_point now) const;
@@ -191,6 +200,8 @@
     prefix_index m_prefixes{{.half_life = sent_prefix_half_life}};
     /// Prefixes that entry hosts placed, for engines without a recent cache report.
     prefix_index m_placements{{.half_life = placed_prefix_half_life}};
+    endpoint m_own;
+    std::vector<endpoint> m_hosts;
     work_report m_new_report;
     std::unordered_map<server_key, backend_server_id> m_ids;
 };
--- a/include/parsleypitch/forwarding/cache_poller.hpp
+++ b/include/parsleypitch/forwarding/cache_poller.hpp
@@ -25,10 +25,7 @@
 /// @brief Waiting queries that an engine has left for hosts whose view of the other hosts differs.
 inline constexpr std::size_t spare_cache_queries = 2;
 
-/// @brief Returns whether a host is among the `pollers` hosts that poll an engine.
-///
-/// Rendezvous hashing ranks the hosts for each engine, so all hosts agree without messages, and when a host
-/// joins or leaves, only the engines that it polls change hands.
+/// @brief Returns whether a host is among the `pollers` hosts that poll an engine, those of the lowest ranks.
 [[nodiscard]] bool polls_engine(const endpoint& own, const std::vector<endpoint>& peers,
                                 const backend_server_id& engine, std::size_t pollers);
 
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -96,7 +96,8 @@
     /// @brief Sets the number of entry hosts among which the connections of a server are divided.
     void set_entry_hosts(std::size_t hosts);
 
-    /// @brief Sets the entry hosts among which the queries for changes of the engines' caches are divided.
+    /// @brief Sets the entry hosts among which the queries for changes of the engines' caches and the limits
+    /// of engines are divided.
     /// @param own address of this host at its peers
     void set_peers(endpoint own, std::vector<endpoint> peers);
 
--- a/include/parsleypitch/forwarding/peer_work.hpp
+++ b/include/parsleypitch/forwarding/peer_work.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/units.hpp>
 #include <parsleypitch/forwarding/crash_evidence.hpp>
+#include <parsleypitch/forwarding/server_conditions.hpp>
 #include <parsleypitch/forwarding/server_key.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
@@ -24,6 +25,14 @@
     prefix_hash prefix;
 };
 
+/// @brief What a host has learnt from the answers of a server.
+struct reported_condition {
+    engine_start server;
+    bool leaving = false;
+    /// @brief Empty if the server has no limit any more.
+    std::optional<request_rate> limit;
+};
+
 /// @brief Sequence number of a work report within one run of the sending process.
 using report_number = number_id<struct report_number_tag>;
 
@@ -39,9 +48,11 @@
     /// @brief Engines that refused work of the sender, for example because they are changing their role.
     std::vector<server_key> refusing;
     quarantine_report quarantine;
+    std::vector<reported_condition> conditions;
 
     [[nodiscard]] bool empty() const noexcept {
-        return started.empty() && placements.empty() && refusing.empty() && quarantine.empty();
+        return started.empty() && placements.empty() && refusing.empty() && quarantine.empty() &&
+               conditions.empty();
     }
 };
 
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/core/hash.hpp>
 #include <parsleypitch/forwarding/backend_pool.hpp>
+#include <parsleypitch/forwarding/host_ranking.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -102,7 +103,7 @@
         backend_state& state = m_states[entry.id];
         if (known == m_states.end()) {
             state.entry = entry;
-            restore_conditions(state);
+            restore_conditions(state, snapshot->confirmed_at);
         }
         if (state.entry.role != entry.role) { // the change of its role, for which it refused work, is over
             state.consecutive_refusals = 0;
@@ -138,13 +139,14 @@
     }
 }
 
-void backend_pool::restore_conditions(backend_state& server) {
+void backend_pool::restore_conditions(backend_state& server, time_point now) {
     const auto known = m_unlisted.find(server.entry.id);
     if (known == m_unlisted.end()) {
         return;
     }
     if (known->second.born == server.entry.born) {
         server.conditions = known->second.conditions;
+        apply_rank(server, now);
     }
     m_unlisted.erase(known);
 }
@@ -166,6 +168,7 @@
         return now;
     }
     ++state->running;
+    state->conditions.note_sent(now);
     if (!state->response_due_since) {
         state->response_due_since = now;
     }
@@ -251,17 +254,75 @@
     }
 }
 
-bool backend_pool::note_conditions(const backend_server_id& id, const server_notice& notice, time_point now) {
+server_conditions::changes backend_pool::note_conditions(const backend_server_id& id,
+                                                         const server_notice& notice, bool states_limit,
+                                                         time_point now) {
     backend_state* state = find(id);
-    return state != nullptr && state->conditions.apply(notice, now);
+    if (state == nullptr) {
+        return {};
+    }
+    const bool had_limit = state->conditions.limit().has_value();
+    if (notice.limit && !had_limit) {
+        apply_rank(*state, now);
+    }
+    const auto changes = state->conditions.apply(notice, states_limit, now);
+    if (changes.leaves || changes.limit) {
+        report_conditions(*state);
+    }
+    return changes;
+}
+
+void backend_pool::report_conditions(const backend_state& server) {
+    if (m_new_report.conditions.size() < max_reported_items) {
+        m_new_report.conditions.push_back({{key_of(server.entry.id), server.entry.born},
+                                           server.conditions.leaving(),
+                                           server.conditions.limit()});
+    }
+}
+
+void backend_pool::apply_rank(backend_state& server, time_point now) {
+    server.conditions.set_rank(host_rank(m_own, m_hosts, server.entry.id), m_hosts.size() + 1, now);
+}
+
+void backend_pool::set_hosts(const endpoint& own, const std::vector<endpoint>& peers, time_point now) {
+    m_own = own;
+    m_hosts = peers;
+    for (auto& [id, server] : m_states) {
+        if (server.conditions.limit()) {
+            apply_rank(server, now);
+        }
+    }
+}
+
+bool backend_pool::note_reported_condition(const reported_condition& condition, time_point now) {
+    const auto known = m_ids.find(condition.server.server);
+    if (known == m_ids.end()) {
+        return false;
+    }
+    backend_state& server = m_states.at(known->second);
+    if (server.entry.born != condition.server.born) { // of another start
+        return false;
+    }
+    if (condition.limit && !server.conditions.limit()) {
+        apply_rank(server, now);
+    }
+    return server.conditions.apply_report(condition.leaving, condition.limit, now).to_log;
+}
+
+work_report backend_pool::take_report(time_point now) {
+    for (auto& [id, server] : m_states) {
+        if (server.conditions.take_reminder(now)) {
+            report_conditions(server);
+        }
+    }
+    return std::exchange(m_new_report, {});
 }
 
 duration backend_pool::time_to_accept(const backend_service_id& service, time_point now) const {
     std::optional<duration> shortest;
     for (const backend_state* each : usable_servers(service)) {
-        if (!each->leaving()) {
-            const duration wait = std::max(duration::zero(), each->conditions.closed_until() - now);
-            shortest = std::min(shortest.value_or(wait), wait);
+        if (const auto wait = each->conditions.time_to_accept(now)) {
+            shortest = std::min(shortest.value_or(*wait), *wait);
         }
     }
     return shortest.value_or(duration::zero());
@@ -282,9 +343,9 @@
     return std::max({0.0, left, server.own_prefill_ms * own_share});
 }
 
-void backend_pool::note_peer_report(const work_report& report, time_point now) {
+std::vector<backend_server_id> backend_pool::note_peer_report(const work_report& report, time_point now) {
     if (!m_peers.note(report, now)) {
-        return;
+        return {};
     }
     for (const started_work& started : report.started) {
         if (const auto known = m_ids.find(started.server); known != m_ids.end()) {
@@ -301,6 +362,13 @@
             detail::avoid(m_states.at(known->second), now + detail::peer_refusal_avoidance);
         }
     }
+    std::vector<backend_server_id> changed;
+    for (const reported_condition& condition : report.conditions) {
+        if (note_reported_condition(condition, now)) {
+            changed.push_back(m_ids.at(condition.server.server));
+        }
+    }
+    return changed;
 }
 
 void backend_pool::note_placed(const backend_server_id& id, std::span<const prompt_part> shared,
--- a/src/forwarding/cache_poller.cpp
+++ b/src/forwarding/cache_poller.cpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/core/hash.hpp>
 #include <parsleypitch/forwarding/cache_poller.hpp>
+#include <parsleypitch/forwarding/host_ranking.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -17,15 +18,7 @@
 
 bool polls_engine(const endpoint& own, const std::vector<endpoint>& peers, const backend_server_id& engine,
                   std::size_t pollers) {
-    if (peers.size() < pollers) {
-        return true;
-    }
-    const std::uint64_t seed = hash_bytes(engine.str());
-    const std::uint64_t own_weight = hash_bytes(own.str(), seed);
-    const auto ahead = std::count_if(peers.begin(), peers.end(), [own_weight, seed](const endpoint& peer) {
-        return hash_bytes(peer.str(), seed) > own_weight;
-    });
-    return static_cast<std::size_t>(ahead) < pollers;
+    return host_rank(own, peers, engine) < pollers;
 }
 
 void cache_poller::set_hosts(endpoint own, std::vector<endpoint> peers) {
@@ -84,7 +77,7 @@
         m_short_polls_left.erase(id);
         return;
     }
-    if (!server->conditions.accepts(m_shared->hooks.now())) {
+    if (server->conditions.in_need(m_shared->hooks.now())) {
         schedule_query(id);
         return;
     }
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -34,16 +34,30 @@
     if (head.status == misdirected) {
         return;
     }
-    const server_notice notice = protocol.decode_response_head(head).notice;
-    if (pool.note_conditions(server, notice, hooks.now())) {
+    const response_metadata metadata = protocol.decode_response_head(head);
+    const server_notice& notice = metadata.notice;
+    // Answers to cache queries carry no request id; they need not name a limit.
+    const bool states_limit = !metadata.request.empty();
+    const auto changes = pool.note_conditions(server, notice, states_limit, hooks.now());
+    if (!changes.any()) {
+        return;
+    }
+    for (const auto& [changed, kind] :
+         {std::pair(changes.leaves, "leaving"), std::pair(changes.closes, "closed"),
+          std::pair(changes.limit, "limit")}) {
+        if (changed) {
+            count("parsleypitch_server_conditions_total", {{"kind", kind}});
+        }
+    }
+    if (changes.to_log) {
         log->info("server_condition",
                   {{"server", server},
                    {"leaving", notice.leaving},
                    {"retry_after_ms", notice.retry_after.value_or(duration::zero())},
                    {"limited", notice.limit.has_value()},
                    {"limit_per_second", notice.limit.value_or(request_rate{}).per_second}});
-        count("parsleypitch_server_conditions_total", {{"kind", notice.leaving ? "leaving" : "closed"}});
     }
+    hooks.report_pending();
 }
 
 void forwarder::state::check_held(const backend_service_id& service) {
@@ -94,6 +108,7 @@
 }
 
 void forwarder::set_peers(endpoint own, std::vector<endpoint> peers) {
+    m_state->pool.set_hosts(own, peers, m_state->hooks.now());
     m_cache_poller->set_hosts(std::move(own), std::move(peers));
 }
 
@@ -145,13 +160,21 @@
 }
 
 work_report forwarder::take_report() {
-    work_report report = m_state->pool.take_report();
+    work_report report = m_state->pool.take_report(m_state->hooks.now());
     report.quarantine = m_state->quarantine.report(m_state->hooks.now());
     return report;
 }
 
 void forwarder::note_peer_report(const work_report& report) {
-    m_state->pool.note_peer_report(report, m_state->hooks.now());
+    for (const backend_server_id& server : m_state->pool.note_peer_report(report, m_state->hooks.now())) {
+        const server_conditions& known = m_state->pool.find(server)->conditions;
+        m_state->log->info("server_condition_reported",
+                           {{"server", server},
+                            {"by", report.from},
+                            {"leaving", known.leaving()},
+                            {"limited", known.limit().has_value()},
+                            {"limit_per_second", known.limit().value_or(request_rate{}).per_second}});
+    }
     if (!report.quarantine.empty()) {
         m_state->note_quarantine_report(report.quarantine);
     }
--- a/src/serving/work_report_codec.cpp
+++ b/src/serving/work_report_codec.cpp
@@ -14,11 +14,13 @@
 constexpr std::size_t server_size = 5;         // a 32-bit integer
 constexpr std::size_t placement_size = 14;     // a 32-bit and a 64-bit integer: server key and prefix
 
+constexpr std::size_t condition_size = 25; // server key, start, leaving and rate
 constexpr std::size_t key_size = 9;        // a 64-bit integer
 constexpr std::size_t crash_size = 16;     // server key, start and the header of the array of parts
 constexpr std::size_t quarantine_size = 8; // milliseconds and the header of the array of parts
 /// Positions of the fields of a report, and those of its quarantine part.
 constexpr std::size_t quarantine_field = 5;
+constexpr std::size_t conditions_field = 6;
 constexpr std::size_t crashes_field = 0;
 constexpr std::size_t sound_field = 1;
 constexpr std::size_t quarantined_field = 2;
@@ -74,6 +76,19 @@
     return {std::move(crashes), std::move(sound), std::move(quarantined)};
 }
 
+nlohmann::json encode_conditions(const std::vector<reported_condition>& all, remaining_size& size) {
+    nlohmann::json conditions = nlohmann::json::array();
+    for (const reported_condition& each : all) {
+        if (!size.take(condition_size)) {
+            break;
+        }
+        nlohmann::json limit = each.limit ? nlohmann::json(each.limit->per_second) : nlohmann::json();
+        conditions.push_back(
+            {each.server.server.value(), each.server.born.value(), each.leaving, std::move(limit)});
+    }
+    return conditions;
+}
+
 bool is_unsigned(const nlohmann::json& value) {
     return value.is_number_unsigned();
 }
@@ -108,6 +123,33 @@
            all(sound_field, is_unsigned) && all(quarantined_field, is_quarantine);
 }
 
+bool is_condition(const nlohmann::json& value) {
+    return value.is_array() && value.size() == 4 && is_unsigned(value[0]) && is_unsigned(value[1]) &&
+           value[2].is_boolean() &&
+           (value[3].is_null() || (value[3].is_number() && value[3].get<double>() >= 0 &&
+                                   value[3].get<double>() <= max_limit.per_second));
+}
+
+bool are_conditions(const nlohmann::json& value) {
+    return value.is_array() && std::all_of(value.begin(), value.end(), is_condition);
+}
+
+std::vector<reported_condition> decode_conditions(const nlohmann::json& from) {
+    std::vector<reported_condition> conditions;
+    conditions.reserve(from.size());
+    for (const auto& each : from) {
+        reported_condition decoded;
+        decoded.server = {server_key(each[0].get<std::uint64_t>()),
+                          incarnation(each[1].get<std::uint64_t>())};
+        decoded.leaving = each[2].get<bool>();
+        if (!each[3].is_null()) {
+            decoded.limit = request_rate{each[3].get<double>()};
+        }
+        conditions.push_back(decoded);
+    }
+    return conditions;
+}
+
 quarantine_report decode_quarantine(const nlohmann::json& from) {
     constexpr std::uint64_t max_remaining_ms = 7 * 24 * 3'600'000ULL;
     quarantine_report report;
@@ -129,10 +171,8 @@
 std::string encode_work_report(const work_report& report) {
     remaining_size size;
     const auto fits = [&size](std::size_t bytes) { return size.take(bytes); };
-    // An entry host without this field ignores reports that have it, so they have it only where it is needed.
-    const bool has_quarantine = !report.quarantine.empty();
-    nlohmann::json quarantine =
-        has_quarantine ? encode_quarantine(report.quarantine, size) : nlohmann::json();
+    nlohmann::json quarantine = encode_quarantine(report.quarantine, size);
+    nlohmann::json conditions = encode_conditions(report.conditions, size);
     nlohmann::json started = nlohmann::json::array();
     for (const started_work& work : report.started) {
         if (!fits(started_work_size)) {
@@ -158,8 +198,10 @@
     }
     nlohmann::json message = {report.born.value(), report.number.value(), std::move(started),
                               std::move(placements), std::move(refusing)};
-    if (has_quarantine) {
+    // Entry hosts that do not know the last two fields ignore reports that have them.
+    if (!report.quarantine.empty() || !report.conditions.empty()) {
         message.push_back(std::move(quarantine));
+        message.push_back(std::move(conditions));
     }
     std::string bytes;
     nlohmann::json::to_cbor(message, bytes);
@@ -171,15 +213,16 @@
     const auto are_pairs = [](const nlohmann::json& value) {
         return are_unsigned(value) && value.size() % 2 == 0;
     };
-    const bool well_formed =
-        message.is_array() && message.size() >= quarantine_field && message.size() <= quarantine_field + 1 &&
-        is_unsigned(message[0]) && is_unsigned(message[1]) && are_pairs(message[2]) &&
-        are_pairs(message[3]) && are_unsigned(message[4]) &&
-        (message.size() == quarantine_field || is_quarantine_report(message[quarantine_field]));
+    const bool extended = message.is_array() && message.size() == conditions_field + 1;
+    const bool well_formed = message.is_array() && (message.size() == quarantine_field || extended) &&
+                             is_unsigned(message[0]) && is_unsigned(message[1]) && are_pairs(message[2]) &&
+                             are_pairs(message[3]) && are_unsigned(message[4]) &&
+                             (!extended || (is_quarantine_report(message[quarantine_field]) &&
+                                            are_conditions(message[conditions_field])));
     if (!well_formed) {
         return fail(errc::malformed_document,
                     "work report: expected two unsigned integers, two arrays of pairs "
-                    "of them, an array of them and at most a quarantine report");
+                    "of them and an array of them, then nothing or a quarantine and conditions");
     }
     work_report report;
     report.from = from;
@@ -198,8 +241,9 @@
     for (const auto& server : message[4]) {
         report.refusing.emplace_back(server.get<std::uint64_t>());
     }
-    if (message.size() > quarantine_field) {
+    if (extended) {
         report.quarantine = decode_quarantine(message[quarantine_field]);
+        report.conditions = decode_conditions(message[conditions_field]);
     }
     return report;
 }
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -62,10 +62,10 @@
     const backend_server_id a("a");
     backend_pool peer;
     peer.note_placed(a, std::span(m_parts).first(2), m_now);
-    work_report report_of_peer = peer.take_report();
+    work_report report_of_peer = peer.take_report(m_now);
     report_of_peer.from = endpoint("h2:1");
     EXPECT_EQ(report_of_peer.placements.size(), 2U);
-    EXPECT_TRUE(peer.take_report().placements.empty());
+    EXPECT_TRUE(peer.take_report(m_now).placements.empty());
     m_pool.note_peer_report(report_of_peer, m_now);
     EXPECT_EQ(cached("a"), 1500);
     m_now += placed_prefix_half_life;
@@ -126,7 +126,7 @@
     }
     EXPECT_EQ(refuse(), milliseconds(2400));
 
-    work_report report = m_pool.take_report();
+    work_report report = m_pool.take_report(m_now);
     EXPECT_FALSE(report.refusing.empty());
     report.from = endpoint("h1:1");
     backend_pool peer;
--- a/tests/unit-forwarder-conditions.cpp
+++ b/tests/unit-forwarder-conditions.cpp
@@ -2,6 +2,22 @@
 
 namespace parsleypitch {
 
+namespace {
+
+server_notice limited(request_rate limit) {
+    server_notice notice;
+    notice.limit = limit;
+    return notice;
+}
+
+server_notice closed_for(duration time) {
+    server_notice notice;
+    notice.retry_after = time;
+    return notice;
+}
+
+} // namespace
+
 class forwarder_conditions_fixture : public forwarder_harness {
   protected:
     void SetUp() override {
@@ -96,7 +112,7 @@
         fleet->confirmed_at = m_now += milliseconds(1);
         fleet->servers.push_back(server(id.c_str(), "plain", engine_role::mixed));
         pool.adopt(fleet);
-        pool.note_conditions(backend_server_id(id), notice, m_now);
+        pool.note_conditions(backend_server_id(id), notice, true, m_now);
     }
     EXPECT_LE(pool.unlisted_servers(), max_unlisted_servers);
 }
@@ -105,11 +121,11 @@
 // ever.
 TEST_F(forwarder_conditions_fixture, time_to_stay_away_is_bounded_and_negative_ones_are_ignored) {
     server_conditions conditions;
-    EXPECT_FALSE(conditions.apply({.retry_after = milliseconds(-5)}, m_now));
+    EXPECT_FALSE(conditions.apply(closed_for(milliseconds(-5)), true, m_now).any());
     EXPECT_TRUE(conditions.accepts(m_now));
-    EXPECT_TRUE(conditions.apply({.retry_after = std::chrono::hours(100'000)}, m_now));
+    EXPECT_TRUE(conditions.apply(closed_for(std::chrono::hours(100'000)), true, m_now).closes);
     EXPECT_TRUE(conditions.accepts(m_now + max_retry_after));
-    EXPECT_FALSE(conditions.apply({.retry_after = seconds(1)}, m_now))
+    EXPECT_FALSE(conditions.apply(closed_for(seconds(1)), true, m_now).any())
         << "one log line, not one for each answer";
 }
 
@@ -137,4 +153,88 @@
     }
 }
 
+// Guards against a limit that is kept when the answers of the server no longer name it.
+TEST_F(forwarder_conditions_fixture, limit_ends_with_an_answer_that_names_none) {
+    server_conditions conditions;
+    conditions.apply(limited(request_rate{1}), true, m_now);
+    EXPECT_FALSE(conditions.accepts(m_now));
+    EXPECT_FALSE(conditions.apply({}, false, m_now).any()) << "a cache answer need not name the limit";
+    EXPECT_TRUE(conditions.apply({}, true, m_now).limit);
+    EXPECT_TRUE(conditions.accepts(m_now));
+}
+
+// Guards against a log that a server fills with ever new limits.
+TEST_F(forwarder_conditions_fixture, limit_that_changes_with_each_answer_is_logged_once_in_a_while) {
+    server_conditions conditions;
+    int logged = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const request_rate limit{i % 2 == 0 ? 1.0 : 2.0};
+        logged += conditions.apply(limited(limit), true, m_now + milliseconds(60) * i).to_log ? 1 : 0;
+    }
+    EXPECT_LE(logged, 60'000 / limit_log_period.count() + 1);
+}
+
+// Guards against a host that never finds out that a limit is over, and against all hosts finding out
+// together.
+TEST_F(forwarder_conditions_fixture, limit_that_nobody_confirms_is_tried_again_by_one_rank_after_the_other) {
+    server_conditions first;
+    server_conditions second;
+    first.set_rank(5, 25, m_now);
+    second.set_rank(6, 25, m_now);
+    for (server_conditions* each : {&first, &second}) {
+        each->apply_report(false, request_rate{1}, m_now);
+        EXPECT_FALSE(each->accepts(m_now + limit_validity));
+    }
+    const time_point stale = m_now + limit_validity + limit_validity_per_rank * 5 + milliseconds(1);
+    EXPECT_TRUE(first.accepts(stale));
+    EXPECT_FALSE(second.accepts(stale));
+    first.note_sent(stale);
+    EXPECT_FALSE(first.accepts(stale)) << "one request is enough to find out";
+}
+
+struct fleet_under_limit {
+    std::size_t hosts;
+    double limit;
+};
+
+class shared_limit_fixture : public testing::TestWithParam<fleet_under_limit> {};
+
+// Guards against hosts that keep to the limit each for itself and exceed it together.
+TEST_P(shared_limit_fixture, hosts_that_send_all_they_may_stay_within_what_the_server_bears) {
+    const auto [hosts, limit] = GetParam();
+    const time_point start{seconds(1000)};
+    std::vector<server_conditions> fleet(hosts);
+    for (std::size_t rank = 0; rank < hosts; ++rank) {
+        fleet[rank].set_rank(rank, hosts, start);
+        fleet[rank].apply(limited(request_rate{limit}), true, start);
+    }
+    std::vector<time_point> sent;
+    std::size_t first_in_window = 0;
+    constexpr milliseconds window{4000};
+    for (time_point now = start; now < start + seconds(30); now += milliseconds(10)) {
+        for (server_conditions& host : fleet) {
+            if (now - start > milliseconds(500) && host.accepts(now)) { // they all save up, then send
+                host.note_sent(now);
+                host.apply(limited(request_rate{limit}), true, now);
+                sent.push_back(now);
+            } else {
+                host.apply_report(false, request_rate{limit}, now);
+            }
+        }
+        while (first_in_window < sent.size() && sent[first_in_window] + window < now) {
+            ++first_in_window;
+        }
+        EXPECT_LE(static_cast<double>(sent.size() - first_in_window), 1.5 * limit * 4 + 5);
+    }
+    EXPECT_GE(static_cast<double>(sent.size()), limit * 30 * 0.8) << "what the server offers is not used";
+}
+
+INSTANTIATE_TEST_SUITE_P(fleets, shared_limit_fixture,
+                         testing::Values(fleet_under_limit{1, 1}, fleet_under_limit{5, 1},
+                                         fleet_under_limit{5, 1.8}, fleet_under_limit{5, 6.2},
+                                         fleet_under_limit{8, 40}, fleet_under_limit{25, 1},
+                                         fleet_under_limit{25, 2}, fleet_under_limit{25, 15},
+                                         fleet_under_limit{68, 2}, fleet_under_limit{68, 40},
+                                         fleet_under_limit{390, 3}));
+
 } // namespace parsleypitch
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -54,6 +54,11 @@
     for (int i = 0; i < 20; ++i) {
         report.started.push_back({key_of(backend_server_id("e" + std::to_string(i))), i * 10.0});
     }
+    report.quarantine.crashes = {{{server_key(7), incarnation(8)}, {prompt_part_key(~std::uint64_t{0})}}};
+    report.quarantine.sound = {prompt_part_key(9)};
+    report.quarantine.quarantined = {{{prompt_part_key(1), prompt_part_key(2)}, seconds(7200)}};
+    report.conditions = {{{server_key(7), incarnation(8)}, true, request_rate{1.5}},
+                         {{server_key(9), incarnation(8)}, false, std::nullopt}};
     const auto decoded = decode_work_report(encode_work_report(report), endpoint("10.0.0.1:7381"));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded.value().from, endpoint("10.0.0.1:7381"));
@@ -67,6 +72,19 @@
     EXPECT_EQ(decoded.value().placements[0].prefix, prefix_hash(0xFEDCBA9876543210));
 
     EXPECT_EQ(decoded.value().refusing, report.refusing);
+    const quarantine_report& quarantine = decoded.value().quarantine;
+    ASSERT_EQ(quarantine.crashes.size(), 1U);
+    EXPECT_EQ(quarantine.crashes[0].crash, report.quarantine.crashes[0].crash);
+    EXPECT_EQ(quarantine.crashes[0].parts, report.quarantine.crashes[0].parts);
+    EXPECT_EQ(quarantine.sound, report.quarantine.sound);
+    ASSERT_EQ(quarantine.quarantined.size(), 1U);
+    EXPECT_EQ(quarantine.quarantined[0].parts, report.quarantine.quarantined[0].parts);
+    EXPECT_EQ(quarantine.quarantined[0].remaining, seconds(7200));
+    ASSERT_EQ(decoded.value().conditions.size(), 2U);
+    EXPECT_EQ(decoded.value().conditions[0].server, report.conditions[0].server);
+    EXPECT_TRUE(decoded.value().conditions[0].leaving);
+    EXPECT_EQ(decoded.value().conditions[0].limit, report.conditions[0].limit);
+    EXPECT_FALSE(decoded.value().conditions[1].limit);
 
     report.started.assign(500, {server_key(0xFFFFFFFF), 100'000});
     report.placements.assign(500, {server_key(0xFFFFFFFF), prefix_hash(~std::uint64_t{0})});
