Play engines that state conditions in their answers in the soak

Change: the engine stand-in says that it leaves in all its answers, may leave without telling the store, and may refuse with a time to stay away. The checker has the guarantee stated_conditions_are_kept: no request sent more than 2 s after a host passed on such an answer reaches the engine from that process, and at most two do from 0.5 s after a refusal until its time is over. Pauses of the host and disturbances of the way to the engine excuse it. The new faults are drawn apart, so the other faults of a seed stay as they were.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -172,7 +172,8 @@
         });
         http::call_hooks hooks;
         hooks.matches_request = [](const http::response_head&) { return true; };
-        hooks.head = [made](const http::response_head& head) {
+        hooks.head = [made, seen = observed](const http::response_head& head) {
+            note_leaving(*seen, *made->request, head);
             made->answer.status = head.status;
             const std::string* id = head.headers.find(names::attempt_id);
             made->answer.foreign = id != nullptr && *id != made->request->id.str();
@@ -191,6 +192,15 @@
         made->handle = client.start(to, http::serialize(message), options, std::move(hooks));
     }
 
+    /// Records that an answer which a host has passed on says that its server leaves.
+    static void note_leaving(observations& seen, const observed_request& request,
+                             const http::response_head& head) {
+        if (head.headers.find(names::leaving) != nullptr && !request.runs.empty()) {
+            seen.statements.push_back({request.runs.back().server, request.host, request.process,
+                                       std::chrono::steady_clock::now(), std::nullopt});
+        }
+    }
+
     static void finish(const std::shared_ptr<call>& finished, bool complete) {
         if (std::exchange(finished->completed, true)) {
             return;
--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -35,10 +35,6 @@
     return value == nullptr ? "" : *value;
 }
 
-void refuse(const exchange_ptr& to, unsigned status) {
-    answer(to, status, "", {{std::string(names::not_executed), "1"}});
-}
-
 http::header_list sealed(const request_id& id) {
     return {{std::string(names::attempt_id), id.str()}, {std::string(names::seal), "sealed"}};
 }
@@ -91,7 +87,7 @@
                       {"zone", plan.zone.str()},
                       {"version", "v1"},
                       {"slots", plan.slots},
-                      {"state", leaving ? "draining" : "ready"},
+                      {"state", leaving && !listed_as_ready ? "draining" : "ready"},
                       {"born", born}};
         if (plan.role) {
             entry["stage"] = *plan.role == engine_role::prefill ? "prefill" : "decode";
@@ -99,19 +95,48 @@
         dependencies.store->put(names::servers_kind, object_key(plan.id.str()), std::move(entry));
     }
 
+    /// Answers as an engine that leaves does if this one leaves.
+    void respond(const exchange_ptr& to, unsigned status, std::string body,
+                 http::header_list headers = {}) const {
+        if (leaving) {
+            headers.add(std::string(names::leaving), "1");
+        }
+        answer(to, status, std::move(body), std::move(headers));
+    }
+
+    void refuse(const exchange_ptr& to, unsigned status) const {
+        respond(to, status, "", {{std::string(names::not_executed), "1"}});
+    }
+
+    /// Refuses a request for lack of room.
+    void refuse_for_now(const exchange_ptr& to, const observed_request& request) {
+        if (condition.retry_after <= duration::zero()) {
+            refuse(to, status_unavailable);
+            return;
+        }
+        dependencies.observed->statements.push_back({plan.id, request.host, request.process,
+                                                     std::chrono::steady_clock::now(),
+                                                     condition.retry_after});
+        respond(to, status_unavailable, "",
+                {{std::string(names::attempt_id), request.id.str()},
+                 {std::string(names::not_executed), "1"},
+                 {std::string(names::retry_after), std::to_string(to_seconds(condition.retry_after))}});
+    }
+
     void receive(const exchange_ptr& call) {
         const http::request& message = call->message();
         if (message.target.rfind(names::cache_events_path, 0) == 0) {
             const auto wait = milliseconds(number_or(field(message, names::wait), 0));
             start_timer(*context, wait, [call, self = shared_from_this()] {
-                answer(call, status_ok,
-                       json{{"epoch", self->born}, {"next", 1}, {"lost", false}, {"events", json::array()}}
-                           .dump());
+                self->respond(
+                    call, status_ok,
+                    json{{"epoch", self->born}, {"next", 1}, {"lost", false}, {"events", json::array()}}
+                        .dump());
             });
         } else if (message.target.rfind(names::kv_handle_path, 0) == 0) {
             const std::string handle = message.target.substr(names::kv_handle_path.size());
             const bool known = dependencies.caches->erase(plan.published.str() + "/" + handle) > 0;
-            answer(call, known ? status_ok : status_missing, "");
+            respond(call, known ? status_ok : status_missing, "");
         } else if (message.target == names::order_path) {
             receive_order(call);
         } else {
@@ -123,11 +148,11 @@
         const json order = json::parse(call->message().body, nullptr, false);
         const std::string target = field(call->message(), names::target_instance);
         if (!target.empty() && target != plan.id.str()) {
-            answer(call, status_misdirected, "");
+            respond(call, status_misdirected, "");
             return;
         }
         if (order.is_discarded() || !order.contains("holder") || !order.contains("fence_token")) {
-            answer(call, status_malformed, "");
+            respond(call, status_malformed, "");
             return;
         }
         dependencies.observed->orders.push_back({plan.id, entry_host_id(order["holder"].get<std::string>()),
@@ -135,11 +160,11 @@
                                                  std::chrono::steady_clock::now()});
         const engine_role to = order["stage"] == "prefill" ? engine_role::prefill : engine_role::decode;
         if (plan.role == to) {
-            answer(call, status_ok, "");
+            respond(call, status_ok, "");
             return;
         }
         if (switching) {
-            answer(call, status_conflict, "");
+            respond(call, status_conflict, "");
             return;
         }
         switching = true;
@@ -150,14 +175,14 @@
                 self->write_entry();
             }
         });
-        answer(call, status_accepted, "");
+        respond(call, status_accepted, "");
     }
 
     void receive_request(const exchange_ptr& call) {
         const http::request& message = call->message();
         const request_id id(field(message, names::attempt_id));
         if (field(message, names::target_instance) != plan.id.str()) {
-            answer(call, status_misdirected, "");
+            respond(call, status_misdirected, "");
             return;
         }
         const auto known = dependencies.observed->requests.find(id);
@@ -175,13 +200,17 @@
         request.arrivals.push_back(
             {plan.id, plan.service, std::chrono::steady_clock::now(), false, prefill_only});
         if (wrong_role) {
-            answer(call, status_misdirected, "");
+            respond(call, status_misdirected, "");
             return;
         }
-        if (switching || occurs(condition.refuse_percent)) {
+        if (switching) {
             refuse(call, status_unavailable);
             return;
         }
+        if (occurs(condition.refuse_percent)) {
+            refuse_for_now(call, request);
+            return;
+        }
         if (prefill_only) {
             run_prefill(call, request);
             return;
@@ -217,9 +246,9 @@
                             return;
                         }
                         self->dependencies.caches->emplace(self->plan.published.str() + "/" + handle, id);
-                        answer(call, status_ok,
-                               json{{"kv_handle", handle}, {"tokens", 1}, {"version", 1}}.dump(),
-                               {{std::string(names::attempt_id), id.str()}});
+                        self->respond(call, status_ok,
+                                      json{{"kv_handle", handle}, {"tokens", 1}, {"version", 1}}.dump(),
+                                      {{std::string(names::attempt_id), id.str()}});
                     });
     }
 
@@ -262,27 +291,30 @@
             active->exchange->abort();
         } else if (occurs(condition.foreign_answer_percent)) {
             finish(active, 0);
-            answer(active->exchange, status_ok, plain_answer(request_id("other")),
-                   sealed(request_id("other")));
+            respond(active->exchange, status_ok, plain_answer(request_id("other")),
+                    sealed(request_id("other")));
         } else if (occurs(condition.failure_percent)) {
             finish(active, status_failed);
-            answer(active->exchange, status_failed, "failed", sealed(id));
+            respond(active->exchange, status_failed, "failed", sealed(id));
         } else {
             finish(active, status_ok);
-            answer(active->exchange, status_ok, plain_answer(id), sealed(id));
+            respond(active->exchange, status_ok, plain_answer(id), sealed(id));
         }
     }
 
     void begin_stream(const active_request_ptr& active) {
         if (occurs(condition.failure_percent)) {
             finish(active, status_failed);
-            answer(active->exchange, status_failed, "failed", sealed(active->request->id));
+            respond(active->exchange, status_failed, "failed", sealed(active->request->id));
             return;
         }
         http::response_head head;
         head.status = status_ok;
         head.headers = sealed(active->request->id);
         head.headers.add("Content-Type", "text/event-stream");
+        if (leaving) {
+            head.headers.add(std::string(names::leaving), "1");
+        }
         active->exchange->begin(head);
         continue_stream(active);
     }
@@ -320,6 +352,13 @@
         active_requests.erase(active);
     }
 
+    void close_later() {
+        start_timer(*context, close_delay_after_leaving, [self = shared_from_this()] {
+            self->dependencies.store->remove(names::servers_kind, object_key(self->plan.id.str()));
+            self->close();
+        });
+    }
+
     void close() {
         if (std::exchange(closed, true)) {
             return;
@@ -342,6 +381,7 @@
     std::uint64_t handles = 0;
     bool switching = false;
     bool leaving = false;
+    bool listed_as_ready = false;
     bool closed = false;
 };
 
@@ -371,10 +411,16 @@
     m_state->leaving = true;
     m_state->write_entry();
     m_state->dependencies.observed->leaving.emplace(m_state->plan.id, std::chrono::steady_clock::now());
-    start_timer(*m_state->context, close_delay_after_leaving, [state = m_state] {
-        state->dependencies.store->remove(names::servers_kind, object_key(state->plan.id.str()));
-        state->close();
-    });
+    m_state->close_later();
+}
+
+void engine_stand_in::leave_unlisted() {
+    if (m_state->closed || m_state->leaving) {
+        return;
+    }
+    m_state->leaving = true;
+    m_state->listed_as_ready = true;
+    m_state->close_later();
 }
 
 void engine_stand_in::crash() {
--- a/soak/engine_stand_in.hpp
+++ b/soak/engine_stand_in.hpp
@@ -38,6 +38,8 @@
     std::uint64_t hang_percent = 0;
     /// @brief Factor applied to all processing times.
     std::uint64_t slowdown_factor = 1;
+    /// @brief Time that refusals ask the host to stay away; zero if they name none.
+    duration retry_after{0};
 };
 
 /// @brief KV caches that engines hold for import by other engines: the request of each, keyed by
@@ -69,8 +71,10 @@
     /// @return `bind_failed`, with the endpoint in the detail, if the address cannot be used
     [[nodiscard]] result<void> open();
     void set(const engine_condition& condition);
-    /// @brief Marks the engine as draining in the store, and stops it 4 s later.
+    /// @brief Marks the engine as draining in the store and in its answers, and stops it 4 s later.
     void leave();
+    /// @brief Says in answers alone that the engine leaves, and stops it 4 s later.
+    void leave_unlisted();
     /// @brief Stops the engine without notice; its store entry expires after three missed heartbeats.
     void crash();
     [[nodiscard]] const engine_plan& plan() const;
--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -17,6 +17,10 @@
 constexpr milliseconds fault_gap_in_series{700};
 /// Time that a restarted host needs until it serves.
 constexpr milliseconds host_start_time{1000};
+/// Time for which an engine states a condition, or until it has left.
+constexpr milliseconds statement_time{4000};
+constexpr milliseconds statement_period{1500};
+constexpr milliseconds stated_retry_after{2000};
 /// Gaps between series are 0, 1 or 2 times the mean.
 constexpr std::uint64_t series_gap_factors = 3;
 /// Probability of a fault for each request to an affected engine, in percent.
@@ -40,10 +44,24 @@
     return *bed.engines[bed.random(bed.engines.size())];
 }
 
+time_span span_of(duration length) {
+    const time_point now = std::chrono::steady_clock::now();
+    return {now, now + length + host_start_time};
+}
+
+/// Link `n` in front of the engines leads to engine `n`.
+void note_link_interruption(testbed& bed, const std::vector<std::unique_ptr<bench::relay_link>>& links,
+                            std::size_t index, duration length) {
+    if (&links == &bed.engine_links) {
+        bed.observed.interruptions.push_back({std::nullopt, bed.engines[index]->plan().id, span_of(length)});
+    }
+}
+
 } // namespace
 
 fault_series::fault_series(soak_plan plan)
-    : m_plan(std::move(plan)), m_random(seeded_random_hook(m_plan.seed + 1)) {
+    : m_plan(std::move(plan)), m_random(seeded_random_hook(m_plan.seed + 1)),
+      m_statement_random(seeded_random_hook(m_plan.seed + 2)) {
 }
 
 result<void> fault_series::start(kernel& host) {
@@ -58,6 +76,7 @@
         add_link_faults();
         add_store_faults();
         add_engine_faults();
+        add_engine_statements();
     }
     return success();
 }
@@ -108,7 +127,11 @@
             m_hosts->kill(host, between(min_restart_delay, max_restart_delay));
         }
     });
-    add("host_pause", [this](duration length) { m_hosts->pause(any_host(), length); });
+    add("host_pause", [this](duration length) {
+        const std::size_t host = any_host();
+        note_interruption({host_id(host), std::nullopt, span_of(length)});
+        m_hosts->pause(host, length);
+    });
 }
 
 void fault_series::add_link_faults() {
@@ -128,7 +151,9 @@
         }
         add(place.name + "_resets", [this, select = place.value](duration) {
             m_traffic->post([select](testbed& bed) {
-                select(bed)[bed.random(select(bed).size())]->reset_connections(reset_percent, bed.random);
+                const std::size_t index = bed.random(select(bed).size());
+                note_link_interruption(bed, select(bed), index, duration::zero());
+                select(bed)[index]->reset_connections(reset_percent, bed.random);
             });
         });
     }
@@ -137,7 +162,9 @@
 std::function<void(duration)> fault_series::disturb_link(links_of select, bench::link_condition condition) {
     return [this, select = std::move(select), condition](duration length) {
         m_traffic->post([select, condition, length](testbed& bed) {
-            bench::relay_link* link = select(bed)[bed.random(select(bed).size())].get();
+            const std::size_t index = bed.random(select(bed).size());
+            bench::relay_link* link = select(bed)[index].get();
+            note_link_interruption(bed, select(bed), index, length);
             link->set(condition);
             start_timer(bed.context, length, [link] { link->set({}); });
         });
@@ -191,6 +218,32 @@
     });
 }
 
+void fault_series::add_engine_statements() {
+    m_statements.push_back({"engine_asks_for_time", false, [this](duration length) {
+                                m_traffic->post([length](testbed& bed) {
+                                    engine_condition condition;
+                                    condition.refuse_percent = fault_percent;
+                                    condition.retry_after = stated_retry_after;
+                                    engine_stand_in* engine = &any_engine(bed);
+                                    engine->set(condition);
+                                    start_timer(bed.context, length, [engine] { engine->set({}); });
+                                });
+                            }});
+    m_statements.push_back({"engine_leaves_unlisted", false, [this](duration) {
+                                m_traffic->post([this](testbed& bed) {
+                                    engine_stand_in& leaving = any_engine(bed);
+                                    leaving.leave_unlisted();
+                                    replace_engine(leaving.plan());
+                                });
+                            }});
+}
+
+void fault_series::note_interruption(observed_interruption interruption) {
+    m_traffic->post([interruption = std::move(interruption)](testbed& bed) {
+        bed.observed.interruptions.push_back(interruption);
+    });
+}
+
 void fault_series::replace_engine(const engine_plan& ended_engine) {
     m_kernel->post_control_after(between(min_restart_delay, max_restart_delay), [this, ended_engine] {
         m_traffic->post([ended_engine](testbed& bed) {
@@ -206,6 +259,19 @@
     if (m_plan.mix != fault_mix::none) {
         draw_next();
     }
+    if (!m_statements.empty()) {
+        draw_statement();
+    }
+}
+
+void fault_series::draw_statement() {
+    const duration passed = std::chrono::steady_clock::now() - m_began;
+    if (passed > m_plan.fault_duration - max_fault_length - statement_time) {
+        return;
+    }
+    const fault_kind& kind = m_statements[m_statement_random(m_statements.size())];
+    inject(kind, statement_time);
+    m_kernel->post_control_after(statement_period, [this] { draw_statement(); });
 }
 
 void fault_series::draw_next() {
@@ -218,15 +284,15 @@
     const fault_kind& kind = m_kinds[m_random(m_kinds.size())];
     const std::uint64_t repetitions = 1 + m_random(max_series_length);
     for (std::uint64_t index = 0; index < repetitions; ++index) {
-        m_kernel->post_control_after(fault_gap_in_series * static_cast<int>(index),
-                                     [this, &kind] { inject(kind); });
+        m_kernel->post_control_after(fault_gap_in_series * static_cast<int>(index), [this, &kind] {
+            inject(kind, between(min_fault_length, max_fault_length));
+        });
     }
     m_kernel->post_control_after(gap + min_draw_gap, [this] { draw_next(); });
 }
 
-void fault_series::inject(const fault_kind& kind) {
+void fault_series::inject(const fault_kind& kind, duration length) {
     const time_point now = std::chrono::steady_clock::now();
-    const duration length = between(min_fault_length, max_fault_length);
     const auto after_ms = std::chrono::duration_cast<milliseconds>(now - m_began).count();
     const auto length_ms = std::chrono::duration_cast<milliseconds>(length).count();
     m_injected.push_back(std::to_string(after_ms) + " ms: " + kind.name + " for " +
--- a/soak/fault_series.hpp
+++ b/soak/fault_series.hpp
@@ -49,19 +49,25 @@
     void add_link_faults();
     void add_store_faults();
     void add_engine_faults();
+    void add_engine_statements();
     void add_operator_work();
     void draw_next();
-    void inject(const fault_kind& kind);
+    void draw_statement();
+    void note_interruption(observed_interruption interruption);
+    void inject(const fault_kind& kind, duration length);
     [[nodiscard]] std::size_t any_host() const;
     [[nodiscard]] duration between(milliseconds shortest, milliseconds longest) const;
     void replace_engine(const engine_plan& ended_engine);
 
     soak_plan m_plan;
     random_hook m_random;
+    /// Draws the statements of engines, so that the other faults of a seed do not depend on them.
+    random_hook m_statement_random;
     kernel* m_kernel = nullptr;
     std::shared_ptr<soak_traffic> m_traffic;
     std::shared_ptr<host_processes> m_hosts;
     std::vector<fault_kind> m_kinds;
+    std::vector<fault_kind> m_statements;
     time_point m_began;
     std::vector<std::string> m_injected;
 };
--- a/soak/guarantees.cpp
+++ b/soak/guarantees.cpp
@@ -27,6 +27,7 @@
             check_planned_stops(request);
             check_disconnected_caller(request);
         }
+        check_statements();
         check_attempts();
         check_rejections();
         check_retries();
@@ -132,6 +133,42 @@
         }
     }
 
+    /// Whether the host was paused, or its way to the server was disturbed.
+    [[nodiscard]] bool interrupted(const observed_statement& statement, time_point until) const {
+        return std::any_of(m_observed.interruptions.begin(), m_observed.interruptions.end(),
+                           [&](const observed_interruption& each) {
+                               const bool concerns =
+                                   each.host == statement.host || each.server == statement.server;
+                               return concerns && each.span.from <= until && each.span.until >= statement.at;
+                           });
+    }
+
+    void check_statements() {
+        for (const observed_statement& statement : m_observed.statements) {
+            const bool leaves = !statement.closed_for;
+            const time_point from = statement.at + (leaves ? m_bounds.drain : m_bounds.stay_away);
+            const time_point until = leaves ? m_end : statement.at + *statement.closed_for;
+            std::size_t arrivals = 0;
+            for (const auto& [id, request] : m_observed.requests) {
+                if (request.host != statement.host || request.process != statement.process) {
+                    continue;
+                }
+                arrivals += static_cast<std::size_t>(std::count_if(
+                    request.arrivals.begin(), request.arrivals.end(), [&](const observed_arrival& arrival) {
+                        const time_point counted_at = leaves ? request.sent : arrival.at;
+                        return arrival.server == statement.server && counted_at > from &&
+                               arrival.at < until && !interrupted(statement, arrival.at);
+                    }));
+            }
+            if (arrivals > (leaves ? 0 : m_bounds.tolerated_while_closed)) {
+                add_violation(guarantee::stated_conditions_are_kept,
+                              std::to_string(arrivals) + " requests from " + statement.host.str() + " to " +
+                                  statement.server.str() +
+                                  (leaves ? ", which leaves" : ", which wants none"));
+            }
+        }
+    }
+
     void check_configuration(const observed_request& request) {
         for (const observed_run& run : request.runs) {
             const observed_configuration* required_configuration = nullptr;
@@ -378,6 +415,8 @@
         return "retries_are_limited";
     case guarantee::leaving_servers_get_no_work:
         return "leaving_servers_get_no_work";
+    case guarantee::stated_conditions_are_kept:
+        return "stated_conditions_are_kept";
     case guarantee::configuration_is_current:
         return "configuration_is_current";
     case guarantee::configuration_never_goes_back:
--- a/soak/guarantees.hpp
+++ b/soak/guarantees.hpp
@@ -19,6 +19,7 @@
     attempts_are_limited,
     retries_are_limited,
     leaving_servers_get_no_work,
+    stated_conditions_are_kept,
     configuration_is_current,
     configuration_never_goes_back,
     one_giver_of_orders,
@@ -37,6 +38,10 @@
     duration contact = milliseconds(3000);
     /// @brief Time until hosts stop sending to a server that is draining.
     duration drain = milliseconds(2000);
+    /// @brief Time until a host stays away from a server that has asked it to, and the requests that may
+    /// reach the server until it wants some again.
+    duration stay_away = milliseconds(500);
+    std::size_t tolerated_while_closed = 2;
     /// @brief Time until a new configuration is in force.
     duration config_apply = milliseconds(2000);
     /// @brief Requests sent up to this long after a newer configuration was used may still use an older one.
--- a/soak/observations.hpp
+++ b/soak/observations.hpp
@@ -95,11 +95,29 @@
     std::map<route_id, backend_service_id> services;
 };
 
+/// @brief A server told a process of a host in an answer that it leaves, or that it wants no requests for a
+/// time.
+struct observed_statement {
+    backend_server_id server;
+    entry_host_id host;
+    incarnation process;
+    time_point at;
+    /// @brief Empty if the server leaves.
+    std::optional<duration> closed_for;
+};
+
 struct time_span {
     time_point from;
     time_point until;
 };
 
+/// @brief Time in which a host was paused, or in which no host reached a server undisturbed.
+struct observed_interruption {
+    std::optional<entry_host_id> host;
+    std::optional<backend_server_id> server;
+    time_span span;
+};
+
 /// @brief Everything recorded at callers, engines and the operator in one run of the soak.
 struct observations {
     std::map<request_id, observed_request> requests;
@@ -107,6 +125,8 @@
     std::vector<observed_configuration> configurations;
     /// @brief When the store acknowledged that a server is draining.
     std::map<backend_server_id, time_point> leaving;
+    std::vector<observed_statement> statements;
+    std::vector<observed_interruption> interruptions;
     /// @brief Time of every SIGTERM sent to a host.
     std::vector<std::pair<entry_host_id, time_point>> planned_stops;
     /// @brief Times during which injected faults, other than planned operations, may have an effect.
--- a/tests/unit-soak-guarantees.cpp
+++ b/tests/unit-soak-guarantees.cpp
@@ -71,6 +71,33 @@
     EXPECT_EQ(violations(), "runs_once");
 }
 
+// Guards against requests for a server that has told the host in an answer that it leaves.
+TEST_F(guarantees_fixture, request_for_a_server_that_said_it_leaves_violates_stated_conditions) {
+    add("a", request_kind::idempotent, 100);
+    m_observed.statements.push_back(
+        {backend_server_id("i-1"), entry_host_id("edge-0"), incarnation(1), at(100), std::nullopt});
+    add("b", request_kind::idempotent, 2000);
+    EXPECT_EQ(violations(), "");
+    observed_request& late = add("c", request_kind::idempotent, 2200);
+    EXPECT_EQ(violations(), "stated_conditions_are_kept");
+    late.process = incarnation(2); // the host has restarted since
+    EXPECT_EQ(violations(), "");
+}
+
+// Guards against requests for a server that has asked the host to stay away.
+TEST_F(guarantees_fixture, three_requests_for_a_server_that_wants_none_violate_stated_conditions) {
+    m_observed.statements.push_back(
+        {backend_server_id("i-1"), entry_host_id("edge-0"), incarnation(1), at(100), seconds(2)});
+    add("a", request_kind::idempotent, 700);
+    add("b", request_kind::idempotent, 800);
+    add("c", request_kind::idempotent, 2200); // the time is over
+    EXPECT_EQ(violations(), "");
+    add("d", request_kind::idempotent, 900);
+    EXPECT_EQ(violations(), "stated_conditions_are_kept");
+    m_observed.interruptions.push_back({entry_host_id("edge-0"), std::nullopt, {at(500), at(1000)}});
+    EXPECT_EQ(violations(), "");
+}
+
 // Guards against two engines working on one stream at the same time unnoticed.
 TEST_F(guarantees_fixture, overlapping_runs_of_a_stream_violate_one_run_at_a_time) {
     observed_request& request = add("a", request_kind::stream, 100);
