--- a/soak/guarantees.cpp
+++ b/soak/guarantees.cpp
@@ -149,7 +149,8 @@
             const time_point from = statement.at + (leaves ? m_bounds.drain : m_bounds.stay_away);
             const time_point until = leaves ? m_end : statement.at + *statement.closed_for;
             std::size_t arrivals = 0;
-            for (const auto& [id, request] : m_observed.requests) {
+            for (const auto& each : m_observed.requests) {
+                const observed_request& request = each.second;
                 if (request.host != statement.host || request.process != statement.process) {
                     continue;
                 }
