Take what a server says while its entry is away

Callers would see requests cut off: a host that still had a request at a server whose entry had lapsed dropped what the answer said of the server, and sent to it again once the entry was back (DRAIN). Cause: statements were applied to servers with an entry alone. Evidence: forwarder_conditions_fixture.server_that_says_it_leaves_while_it_is_unlisted_is_not_used_again failed on the code before. Found by reading. Change: a server that runs requests of this host is remembered when its entry goes, and its answers apply. The comments of the limit's constants say what they do (two seconds' worth of requests, not half a second's).

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -173,7 +173,8 @@
                                        time_point now) const;
 
   private:
-    /// A server whose entry is gone. Entries also lapse while the store is away, and the server is still up.
+    /// A server whose entry is gone and that has stated a condition or still runs requests of this host.
+    /// Entries also lapse while the store is away, and the server is still up.
     struct unlisted_server {
         incarnation born;
         server_conditions conditions;
--- a/include/parsleypitch/forwarding/server_conditions.hpp
+++ b/include/parsleypitch/forwarding/server_conditions.hpp
@@ -42,8 +42,8 @@
 
 /// @brief Returns how many hosts share the rate of a limited server.
 ///
-/// Each host may have one request in reserve, so with more hosts than requests a second these would exceed a
-/// low limit at once, and the share of a host would be less than one request in seconds.
+/// Each host may send at least one request at once. If many hosts shared a low limit, these requests alone
+/// would exceed it, and each host could send only one request in many seconds.
 [[nodiscard]] std::size_t sharing_hosts(request_rate limit, std::size_t hosts);
 
 /// @brief Returns the part of a limit that a host may use.
@@ -51,8 +51,7 @@
 /// @param hosts number of entry hosts
 [[nodiscard]] request_rate share_of_limit(request_rate limit, std::size_t rank, std::size_t hosts);
 
-/// @brief Spaces requests to a server; at most half a second's worth of them, but at least one, is sent at
-/// once.
+/// @brief Spaces requests to a server; at most two seconds' worth of them, but at least one, is sent at once.
 class request_pacer {
   public:
     request_pacer(request_rate rate, time_point now) : m_rate(rate), m_refilled_at(now) {}
--- a/src/forwarding/backend_pool.cpp
+++ b/src/forwarding/backend_pool.cpp
@@ -128,7 +128,7 @@
 }
 
 void backend_pool::remember_conditions(const backend_state& server, time_point now) {
-    if (server.conditions.empty()) {
+    if (server.conditions.empty() && server.running == 0) { // no answer of it is due
         return;
     }
     m_unlisted[server.entry.id] = {server.entry.born, server.conditions, now};
@@ -259,7 +259,9 @@
                                                          time_point now) {
     backend_state* state = find(id);
     if (state == nullptr) {
-        return {};
+        const auto unlisted = m_unlisted.find(id);
+        return unlisted == m_unlisted.end() ? server_conditions::changes()
+                                            : unlisted->second.conditions.apply(notice, states_limit, now);
     }
     const bool had_limit = state->conditions.limit().has_value();
     if (notice.limit && !had_limit) {
--- a/src/forwarding/server_conditions.cpp
+++ b/src/forwarding/server_conditions.cpp
@@ -6,8 +6,8 @@
 
 namespace detail {
 
-/// Hosts for each request a second of a limit. Their requests in reserve stay below half of what a server
-/// takes above its limit in a few seconds.
+/// Hosts that share a limit, for each request a second of it. The requests that they may send at once stay
+/// below two seconds' worth of the limit.
 constexpr double hosts_per_limited_rate = 1.5;
 constexpr double pacer_burst_seconds = 2;
 
--- a/tests/unit-forwarder-conditions.cpp
+++ b/tests/unit-forwarder-conditions.cpp
@@ -101,6 +101,16 @@
     EXPECT_FALSE(contains(targets_of_many(), leaving));
 }
 
+// Guards against a statement that is lost because it arrives while the entry of its server is away.
+TEST_F(forwarder_conditions_fixture, server_that_says_it_leaves_while_it_is_unlisted_is_not_used_again) {
+    send("/again/x");
+    const std::string leaving = call().to.str();
+    m_forwarder->adopt(std::make_shared<const fleet_snapshot>());
+    respond(200, {{"seal", "s"}, {"leaving", "1"}}, "body");
+    adopt_fleet();
+    EXPECT_FALSE(contains(targets_of_many(), leaving));
+}
+
 // Guards against memory that grows with each server that leaves.
 TEST_F(forwarder_conditions_fixture, conditions_of_unlisted_servers_are_bounded) {
     backend_pool pool;
