Replace the record of an earlier quarantine of the same prompt parts

Callers would see engines end again after a restart of all hosts: a record in the store is named by its parts, and a second quarantine of the same parts found the first one's record and left it. Hosts that started read that it had ended and removed it. An end far outside of the representable times overflowed when the remaining time was worked out. Cause: any conflict was taken for a record of the same quarantine by another host. Found by reading; the service and the codec had no tests. Change: on a conflict the record is read and replaced if it ends more than a minute earlier. The end is bounded before anything is added to it.

--- a/include/parsleypitch/serving/serving_quarantine.hpp
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -39,11 +39,17 @@
 
     /// @brief Reads the records. Called on the control thread once the store is open.
     void open(object_source records, std::function<object_handle(const object_key&)> record);
+    /// @brief Writes a record, over one that ends earlier, until the store has it. Called on the control
+    /// thread.
+    void record(const quarantined_parts& quarantined);
 
   private:
     void read(const object_key& after);
     void on_page(const object_key& after, const object_page& page);
-    void write(const quarantined_parts& quarantined);
+    void write(const quarantined_parts& quarantined, object_version expected);
+    void on_written(const quarantined_parts& quarantined, const result<object_version>& written);
+    /// Replaces the record of an earlier quarantine of the same parts.
+    void replace_earlier(const quarantined_parts& quarantined);
     void retry(std::function<void()> step);
 
     wall_clock_hook m_clock;
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds retry_delay{1000};
+/// Records whose ends differ by less tell of the same quarantine, which several hosts have begun.
+constexpr std::chrono::minutes same_end_tolerance{1};
 constexpr const char* parts_key = "parts";
 constexpr const char* until_key = "until_ms";
 
@@ -67,9 +69,10 @@
         }
         decoded.parts.insert(*key);
     }
+    constexpr auto longest = std::chrono::duration_cast<milliseconds>(prompt_quarantine_config{}.max_period);
+    const auto now_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
     const milliseconds until(parsed[until_key].get<std::int64_t>());
-    const auto left = until - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
-    decoded.remaining = std::clamp<duration>(left, duration::zero(), prompt_quarantine_config{}.max_period);
+    decoded.remaining = std::clamp(until, now_ms, now_ms + longest) - now_ms;
     return decoded;
 }
 
@@ -85,7 +88,7 @@
     m_traffic = traffic;
     m_traffic->on_quarantine([weak = weak_from_this()](const quarantined_parts& quarantined) {
         if (const auto self = weak.lock()) {
-            self->write(quarantined);
+            self->record(quarantined);
         }
     });
     return success();
@@ -138,24 +141,52 @@
     }
 }
 
-void serving_quarantine::write(const quarantined_parts& quarantined) {
+void serving_quarantine::record(const quarantined_parts& quarantined) {
     if (!m_record) {
-        retry([raw = this, quarantined] { raw->write(quarantined); });
+        retry([raw = this, quarantined] { raw->record(quarantined); });
         return;
     }
+    write(quarantined, object_version());
+}
+
+void serving_quarantine::write(const quarantined_parts& quarantined, object_version expected) {
+    m_record(record_name(quarantined))
+        .write(encode_quarantine_record(quarantined, m_clock()), expected,
+               [self = shared_from_this(), quarantined](const result<object_version>& written) {
+                   self->on_written(quarantined, written);
+               });
+}
+
+void serving_quarantine::on_written(const quarantined_parts& quarantined,
+                                    const result<object_version>& written) {
+    const object_key name = record_name(quarantined);
+    if (written) {
+        m_log->info("quarantine_recorded", {{"record", name}, {"existed", false}});
+    } else if (written.error().code == errc::version_conflict) {
+        replace_earlier(quarantined);
+    } else {
+        m_log->warning("quarantine_not_recorded",
+                       {{"record", name}, {"reason", reason_name(written.error().code)}});
+        retry([raw = this, quarantined] { raw->record(quarantined); });
+    }
+}
+
+void serving_quarantine::replace_earlier(const quarantined_parts& quarantined) {
     const object_key name = record_name(quarantined);
-    m_record(name).write(
-        encode_quarantine_record(quarantined, m_clock()), object_version(),
-        [self = shared_from_this(), quarantined, name](const result<object_version>& written) {
-            const bool exists = !written && written.error().code == errc::version_conflict;
-            if (written || exists) {
-                self->m_log->info("quarantine_recorded", {{"record", name}, {"existed", exists}});
-                return;
-            }
-            self->m_log->warning("quarantine_not_recorded",
-                                 {{"record", name}, {"reason", reason_name(written.error().code)}});
-            self->retry([raw = self.get(), quarantined] { raw->write(quarantined); });
-        });
+    const auto on_read = [self = shared_from_this(), quarantined,
+                          name](const result<directory_object>& existing) {
+        if (!existing) {
+            self->retry([raw = self.get(), quarantined] { raw->record(quarantined); });
+            return;
+        }
+        const auto known = decode_quarantine_record(existing.value().content, self->m_clock());
+        if (known && known.value().remaining + same_end_tolerance >= quarantined.remaining) {
+            self->m_log->info("quarantine_recorded", {{"record", name}, {"existed", true}});
+            return;
+        }
+        self->write(quarantined, existing.value().revision);
+    };
+    m_record(name).read(false, on_read);
 }
 
 void serving_quarantine::retry(std::function<void()> step) {
