--- a/src/serving/work_report_codec.cpp
+++ b/src/serving/work_report_codec.cpp
@@ -151,7 +151,7 @@
 }
 
 quarantine_report decode_quarantine(const nlohmann::json& from) {
-    constexpr std::uint64_t max_remaining_ms = 7 * 24 * 3'600'000ULL;
+    constexpr std::uint64_t max_remaining_ms = std::uint64_t{7} * 24 * 3'600'000;
     quarantine_report report;
     for (const auto& each : from[crashes_field]) {
         report.crashes.push_back(
