Close the descriptors of the bench in its children

Cause: children inherited all descriptors, so a connection that the soak closed stayed open in a host that had been started while it was open. Seen: three hosts held 21, 204 and 263 of the soak's 837 sockets; after the change 0, 0 and 0. Ruled out: a host or soak thread that stood still (63 log lines in the second in question), faults in progress (they had ended ten seconds before). Test: bench_process_fixture.child_does_not_keep_descriptors_of_the_bench_open failed before. Conclusion: a fault of the harness.

--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -33,6 +33,8 @@
         posix_spawn_file_actions_addopen(&m_actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
         posix_spawn_file_actions_addopen(&m_actions, STDOUT_FILENO, out.c_str(), flags, mode);
         posix_spawn_file_actions_addopen(&m_actions, STDERR_FILENO, log.c_str(), flags, mode);
+        // A connection does not end while a child holds its descriptor.
+        posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1);
         // The bench blocks SIGINT and SIGTERM in its threads; a child must not inherit that mask.
         sigset_t none;
         sigemptyset(&none);
