Name the request in the refusals of the soak's engine

The users' engines name the request in all their answers, the stand-in did so only in answers of requests that ran. Hosts therefore dropped its refusals and misdirected answers as answers to other requests and waited for the attempt's timeout, so the soak did not play refusals at all. Change: 503, 400 and 421 to a request carry its id.

--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -105,7 +105,9 @@
     }
 
     void refuse(const exchange_ptr& to, unsigned status) const {
-        respond(to, status, "", {{std::string(names::not_executed), "1"}});
+        respond(to, status, "",
+                {{std::string(names::attempt_id), field(to->message(), names::attempt_id)},
+                 {std::string(names::not_executed), "1"}});
     }
 
     /// Refuses a request for lack of room.
@@ -182,7 +184,7 @@
         const http::request& message = call->message();
         const request_id id(field(message, names::attempt_id));
         if (field(message, names::target_instance) != plan.id.str()) {
-            respond(call, status_misdirected, "");
+            respond(call, status_misdirected, "", {{std::string(names::attempt_id), id.str()}});
             return;
         }
         const auto known = dependencies.observed->requests.find(id);
@@ -200,7 +202,7 @@
         request.arrivals.push_back(
             {plan.id, plan.service, std::chrono::steady_clock::now(), false, prefill_only});
         if (wrong_role) {
-            respond(call, status_misdirected, "");
+            respond(call, status_misdirected, "", {{std::string(names::attempt_id), id.str()}});
             return;
         }
         if (switching) {
