Log when the store has been restored from a copy

Hosts could not tell a store that went back from one that is slow: a lower revision was ignored without a line. The store names its era in every answer, refusals included; the client of the store now decodes it and the first answer with a later era logs `store_restored` with both eras and what the host believes. Nothing else changes. A header that is missing or is no number names no era.

--- a/include/parsleypitch/core/ids.hpp
+++ b/include/parsleypitch/core/ids.hpp
@@ -36,6 +36,8 @@
 using config_version = number_id<struct config_version_tag>;
 /// @brief Version of an object in the platform's object API; 0 means that the object does not exist.
 using object_version = number_id<struct object_version_tag>;
+/// @brief Counts how often the platform's store has been restored from a copy; 0 if the store does not say.
+using store_era = number_id<struct store_era_tag>;
 /// @brief Number of an attempt at one request; the first attempt is 1.
 using attempt_number = number_id<struct attempt_number_tag>;
 /// @brief Position in the log of cache changes of an engine.
--- a/include/parsleypitch/serving/platform_adapter.hpp
+++ b/include/parsleypitch/serving/platform_adapter.hpp
@@ -14,6 +14,10 @@
 
 namespace parsleypitch {
 
+/// @brief Called with the era before and after a restore of the store, before the answer that shows it is
+/// delivered.
+using restore_hook = std::function<void(store_era before, store_era now)>;
+
 /// @brief Access to the platform's store from the control thread.
 struct store_access {
     /// @brief Entries of the backend servers.
@@ -34,6 +38,8 @@
     /// @brief Returns whether an object holds the newest configuration; other objects of the kind are
     /// ignored.
     std::function<bool(const object_key&)> is_newest_configuration;
+    /// @brief Sets the hook that is called when an answer shows that the store has been restored from a copy.
+    std::function<void(restore_hook)> on_restored;
     /// @brief Changes the address to which later calls are sent.
     std::function<void(const endpoint&)> set_address;
 };
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -38,6 +38,7 @@
     [[nodiscard]] std::optional<backend_server_entry> decode_server(const directory_object& object);
     void on_servers_listed(const std::vector<directory_object>& all, object_version as_of);
     void on_servers_changed(const object_event_batch& batch);
+    void on_restored(store_era before, store_era now);
     void on_configuration(const directory_object& object);
     void publish_fleet();
     void expire_servers();
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -45,6 +45,9 @@
 
 void serving_directory::open_store(kernel& host) {
     m_store = m_adapter.open_store(host.control_context(), m_settings.store);
+    if (m_store.on_restored) {
+        m_store.on_restored([this](store_era before, store_era now) { on_restored(before, now); });
+    }
     m_roles->open(m_store.authority);
     m_peers->open(object_key(m_settings.id.str()), m_store.host_entry, m_store.hosts);
     m_quarantine->open(m_store.quarantines, m_store.quarantine_record);
@@ -146,6 +149,13 @@
     publish_fleet();
 }
 
+void serving_directory::on_restored(store_era before, store_era now) {
+    m_log->warning("store_restored", {{"era", now},
+                                      {"era_before", before},
+                                      {"config_version", m_config_version},
+                                      {"fleet_revision", m_fleet.snapshot().revision}});
+}
+
 void serving_directory::publish_fleet() {
     auto snapshot = std::make_shared<fleet_snapshot>(m_fleet.snapshot());
     for (const backend_server_entry& known : m_published) {
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -109,4 +109,28 @@
     EXPECT_FALSE(*got);
 }
 
+// Guards against a restore that nobody learns of because the answer that shows it is a refusal, and against
+// one that is reported twice.
+TEST_F(store_client_fixture, era_that_rises_in_a_refusal_is_reported_once) {
+    std::vector<std::pair<store_era, store_era>> restored;
+    m_client->on_restored(
+        [&restored](store_era before, store_era now) { restored.emplace_back(before, now); });
+    const object_source servers = m_client->source("servers");
+    const auto ask = [&](const std::string& head) {
+        servers.watch(object_version(5), milliseconds(0), [](const result<object_event_batch>&) {});
+        run();
+        tcp::socket socket = accept();
+        (void)read(socket);
+        send(socket, "HTTP/1.1 " + head + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        run();
+    };
+    ask("503 Service Unavailable\r\nStore-Era: 4\r\n");
+    EXPECT_TRUE(restored.empty()) << "the first era is no restore";
+    ask("409 Conflict\r\nStore-Era: 5\r\n");
+    ask("503 Service Unavailable\r\nStore-Era: 5\r\n");
+    ask("503 Service Unavailable\r\n");
+    ask("503 Service Unavailable\r\nStore-Era: five\r\n");
+    EXPECT_EQ(restored, (std::vector<std::pair<store_era, store_era>>{{store_era(4), store_era(5)}}));
+}
+
 } // namespace parsleypitch::platform
