--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -3,8 +3,10 @@
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/directory/store_revision.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,7 +15,7 @@
 /// @brief An object in the platform's store. The content is decoded by the user of its kind.
 struct directory_object {
     object_key name;
-    object_version revision;
+    store_revision revision;
     std::string content;
 };
 
@@ -22,7 +24,7 @@
     std::vector<directory_object> objects;
     bool has_more = false;
     /// @brief Store revision at which the page was read.
-    object_version as_of;
+    store_revision as_of;
 };
 
 /// @brief Update or removal of an object.
@@ -34,7 +36,14 @@
 /// @brief Changes in order, up to the store revision `as_of`; empty if the watch timed out without a change.
 struct object_event_batch {
     std::vector<object_event> events;
-    object_version as_of;
+    store_revision as_of;
+};
+
+/// @brief Answer to a read of one object.
+struct object_reading {
+    /// @brief Empty if the object does not exist.
+    std::optional<directory_object> object;
+    store_era era;
 };
 
 using page_callback = std::function<void(result<object_page>)>;
@@ -50,25 +59,24 @@
     /// @brief Reads a page of the objects whose names sort after `after`.
     std::function<void(const object_key& after, page_callback)> list;
     /// @brief Waits at most `wait` for changes after the revision `after`.
-    std::function<void(object_version after, milliseconds wait, event_callback)> watch;
+    std::function<void(const store_revision& after, milliseconds wait, event_callback)> watch;
 };
 
 /// @brief Reads, writes and removes one object in the store. Each callback runs exactly once, on the control
 /// thread.
 struct object_handle {
-    /// @brief Reads the object; fails with `object_not_found` if there is none. A stale read is cheaper and
-    /// may return an older revision.
-    std::function<void(bool stale, std::function<void(result<directory_object>)>)> read;
+    /// @brief Reads the object. A stale read is cheaper and may return an older revision.
+    std::function<void(bool stale, std::function<void(result<object_reading>)>)> read;
     /// @brief Writes the object if its revision is still `expected`; an `expected` revision of 0 creates it.
     /// Returns the new revision. Fails with `version_conflict`, with `platform_answer_lost` if the write may
     /// have taken effect, or with another error if it had no effect.
-    std::function<void(const std::string& content, object_version expected,
-                       std::function<void(result<object_version>)>)>
+    std::function<void(const std::string& content, const store_revision& expected,
+                       std::function<void(result<store_revision>)>)>
         write;
     /// @brief Removes the object if its revision is still `expected`. Fails with `version_conflict`,
     /// `object_not_found`, `platform_answer_lost` if it may have been removed, or another error if the
     /// removal had no effect.
-    std::function<void(object_version expected, std::function<void(result<void>)>)> remove;
+    std::function<void(const store_revision& expected, std::function<void(result<void>)>)> remove;
 };
 
 } // namespace parsleypitch
--- a/include/parsleypitch/fleet/backend_server_entry.hpp
+++ b/include/parsleypitch/fleet/backend_server_entry.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/types.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/directory/store_revision.hpp>
 
 #include <memory>
 #include <vector>
@@ -22,7 +23,7 @@
     bool draining = false;
     std::uint64_t slots = 1;
     /// @brief Store revision at which the entry last changed.
-    object_version revision;
+    store_revision revision;
 
     friend bool operator==(const backend_server_entry&, const backend_server_entry&) = default;
 };
@@ -31,7 +32,7 @@
 struct fleet_snapshot {
     std::vector<backend_server_entry> servers;
     /// @brief Store revision that the snapshot reflects.
-    object_version revision;
+    store_revision revision;
     /// @brief When the store last confirmed the snapshot.
     time_point confirmed_at;
 };
--- a/include/parsleypitch/lease/lease_state.hpp
+++ b/include/parsleypitch/lease/lease_state.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/ids.hpp>
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/core/units.hpp>
+#include <parsleypitch/directory/store_revision.hpp>
 #include <parsleypitch/platform/conditional_writer.hpp>
 
 #include <optional>
@@ -34,9 +35,15 @@
     write_history writes;
 };
 
-/// @brief The lease object as read from the store; version 0 means that it does not exist.
+/// @brief Returns the lowest term of an era of the store.
+///
+/// A restore undoes terms, and their holders may have sent orders. The terms of the new era are therefore
+/// higher than all terms of the eras before. An era has room for 2^32 terms.
+[[nodiscard]] fencing_number first_term(store_era era);
+
+/// @brief The lease object as read from the store; the number of the version is 0 if it does not exist.
 struct stored_lease {
-    object_version version;
+    store_revision version;
     lease_value value;
 };
 
@@ -46,7 +53,7 @@
 /// @brief A conditional write that acquires or renews the lease.
 struct lease_proposal {
     /// @brief Version that the stored object must still have.
-    object_version expected;
+    store_revision expected;
     /// @brief Write history of that version.
     write_history base;
     lease_value value;
@@ -56,13 +63,22 @@
 /// store.
 class lease_state {
   public:
-    explicit lease_state(lease_holder self) : m_self(std::move(self)) {}
+    /// @param whole_system_starts whether no other process can hold the lease when this one starts. Only then
+    /// is a lease that does not exist free in a store that states eras; otherwise a restore may have undone
+    /// it while its holder still acts.
+    explicit lease_state(lease_holder self, bool whole_system_starts = false)
+        : m_self(std::move(self)), m_whole_system_starts(whole_system_starts) {}
 
     /// @brief Records the stored lease. A version that is not newer than the last one seen is ignored,
     /// because the read may be stale.
     /// @param read_at when the response to the read arrived
     void observe(const stored_lease& seen, time_point read_at);
 
+    /// @brief Records that the store has been restored from a copy. The own term ends, since the store may
+    /// have lost it. A process whose term was valid may acquire the lease at once, because no other one can
+    /// hold it; all others wait until a lease of the lost time has ended.
+    void on_restored(store_era now, time_point noticed_at);
+
     /// @brief Returns the next action: `hold` while the own lease is fresh, `renew` once it is due for
     /// renewal, `acquire` if the lease is free or has expired, and otherwise `wait`, during which the lease
     /// is read periodically.
@@ -73,7 +89,10 @@
 
     /// @brief Records that a proposal was written.
     /// @param sent_at time immediately before the first attempt of the write, from which the term is counted
-    void on_written(const lease_proposal& proposal, object_version version, time_point sent_at);
+    /// @return false if the store was restored since the proposal was made. The write then has undone what
+    /// it was not based on, and gives no term.
+    [[nodiscard]] bool on_written(const lease_proposal& proposal, const store_revision& version,
+                                  time_point sent_at);
 
     /// @brief Ends the term of this process, which never uses its fencing number again.
     void give_up() { m_term.reset(); }
@@ -81,6 +100,9 @@
     /// @brief Returns whether this process holds the lease and may act under it.
     [[nodiscard]] bool valid(time_point now) const;
 
+    /// @brief Whether another term may have come before the current one.
+    [[nodiscard]] bool has_predecessor() const noexcept { return m_has_predecessor; }
+
     /// @brief Returns the highest term seen in the store or held; 0 if there is none.
     [[nodiscard]] fencing_number highest_seen() const;
 
@@ -89,7 +111,21 @@
     [[nodiscard]] result<fencing_number> current(time_point now) const;
 
   private:
+    [[nodiscard]] bool is_available(time_point now) const;
+    /// Whether a lease that does not exist has never existed.
+    [[nodiscard]] bool never_existed() const {
+        return m_seen->version.number == object_version() && (m_whole_system_starts || m_era == store_era());
+    }
+
     lease_holder m_self;
+    bool m_whole_system_starts;
+    /// Latest known era of the store.
+    store_era m_era;
+    /// When this process learnt of the last restore.
+    std::optional<time_point> m_restored_at;
+    /// End of the term that the last restore has undone.
+    std::optional<time_point> m_held_until;
+    bool m_has_predecessor = false;
     std::optional<stored_lease> m_seen;
     /// When the version of `m_seen` was first seen, or was sent if this process wrote it.
     time_point m_version_seen_at;
--- a/include/parsleypitch/serving/serving_directory.hpp
+++ b/include/parsleypitch/serving/serving_directory.hpp
@@ -36,7 +36,7 @@
     [[nodiscard]] watcher_hooks make_watcher_hooks(kernel& host, const std::string& kind);
     /// @return nothing if the entry is invalid; the refusal is logged once for each entry
     [[nodiscard]] std::optional<backend_server_entry> decode_server(const directory_object& object);
-    void on_servers_listed(const std::vector<directory_object>& all, object_version as_of);
+    void on_servers_listed(const std::vector<directory_object>& all, const store_revision& as_of);
     void on_servers_changed(const object_event_batch& batch);
     void on_restored(store_era before, store_era now);
     void on_configuration(const directory_object& object);
--- a/include/parsleypitch/serving/serving_peers.hpp
+++ b/include/parsleypitch/serving/serving_peers.hpp
@@ -18,7 +18,7 @@
 /// @brief An entry of the list of entry hosts in the store.
 struct listed_host {
     object_key name;
-    object_version revision;
+    store_revision revision;
     /// @brief Address at which the host receives load reports.
     endpoint report_address;
 };
@@ -38,7 +38,7 @@
 
   private:
     /// Entries whose host was inactive in the previous check.
-    std::set<std::pair<object_key, object_version>> m_inactive;
+    std::set<std::pair<object_key, store_revision>> m_inactive;
 };
 
 /// @brief Adds this host to the list of entry hosts in the store and reads the other hosts from it.
@@ -66,7 +66,7 @@
 
   private:
     void read_own();
-    void write_own(object_version expected);
+    void write_own(const store_revision& expected);
     /// Reads the complete list into `m_listed`, then calls `done`.
     void read_list(const object_key& after, std::function<void()> done);
     void add_listed_peers();
@@ -83,6 +83,7 @@
     object_source m_hosts;
     std::vector<listed_host> m_listed;
     stale_host_finder m_stale_host_finder;
+    bool m_check_scheduled = false;
     bool m_stopped = false;
 };
 
--- a/include/parsleypitch/serving/serving_quarantine.hpp
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace parsleypitch {
@@ -27,11 +28,14 @@
 
 /// @brief Keeps the quarantined prompt parts in the store, for hosts that start when no other host is up.
 ///
-/// The records are read once at the start; running hosts tell each other. A record whose quarantine has ended
-/// is removed by the host that reads it. The state is accessed only on the control thread.
+/// The records are read at the start; running hosts tell each other. A record whose quarantine has ended
+/// is removed by the host that reads it. After a restore of the store the records are read again, and the
+/// missing ones are written again. Each host waits a random time before that, so that few write the same
+/// record. The state is accessed only on the control thread.
 class serving_quarantine final : public service, public std::enable_shared_from_this<serving_quarantine> {
   public:
-    explicit serving_quarantine(wall_clock_hook clock) : m_clock(std::move(clock)) {}
+    explicit serving_quarantine(wall_clock_hook clock, random_hook random = seeded_random_hook(random_seed()))
+        : m_clock(std::move(clock)), m_random(std::move(random)) {}
 
     [[nodiscard]] service_name name() const override;
     [[nodiscard]] result<void> start(kernel& host) override;
@@ -46,13 +50,16 @@
   private:
     void read(const object_key& after);
     void on_page(const object_key& after, const object_page& page);
-    void write(const quarantined_parts& quarantined, object_version expected);
-    void on_written(const quarantined_parts& quarantined, const result<object_version>& written);
+    /// Adopts the records in force and removes those that have ended.
+    void adopt(const std::vector<directory_object>& objects);
+    void write(const quarantined_parts& quarantined, const store_revision& expected);
+    void on_written(const quarantined_parts& quarantined, const result<store_revision>& written);
     /// Replaces the record of an earlier quarantine of the same parts.
     void replace_earlier(const quarantined_parts& quarantined);
     void retry(std::function<void()> step);
 
     wall_clock_hook m_clock;
+    random_hook m_random;
     kernel* m_kernel = nullptr;
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<serving_traffic> m_traffic;
--- a/include/parsleypitch/serving/serving_roles.hpp
+++ b/include/parsleypitch/serving/serving_roles.hpp
@@ -27,7 +27,9 @@
     /// @param protocol encodes orders and decodes their answers
     /// @param holder_pause minimum time between the orders of two holders
     /// @param clock must include the time during which the machine was suspended
-    serving_roles(lease_holder self, backend_protocol protocol, duration holder_pause, clock_hook clock);
+    /// @param whole_system_starts see `lease_state`
+    serving_roles(lease_holder self, backend_protocol protocol, duration holder_pause, clock_hook clock,
+                  bool whole_system_starts = false);
 
     [[nodiscard]] service_name name() const override;
     [[nodiscard]] result<void> start(kernel& host) override;
@@ -35,6 +37,8 @@
 
     /// @brief Starts to use the lease. Called on the control thread once the store is open.
     void open(object_handle lease_object);
+    /// @brief Ends the own term and reads the lease anew. Called on the control thread.
+    void on_restored(store_era now);
     /// @brief Updates the known backend servers. Called on the control thread.
     void observe(const std::vector<backend_server_entry>& servers);
 
@@ -44,8 +48,8 @@
     void advance_lease(time_point now);
     void read_lease(bool stale);
     void write_lease(time_point now);
-    void on_read(const result<directory_object>& read, time_point at);
-    void on_written(const lease_proposal& proposal, const result<object_version>& written,
+    void on_read(const result<object_reading>& read, time_point at);
+    void on_written(const lease_proposal& proposal, const result<store_revision>& written,
                     time_point sent_at);
     /// Detects and logs that the lease was acquired or lost.
     void update_term(time_point now);
--- a/include/parsleypitch/settings/serve_settings.hpp
+++ b/include/parsleypitch/settings/serve_settings.hpp
@@ -26,6 +26,8 @@
     duration drain_propagation_limit = milliseconds(2000);
     /// @brief Maximum time until an accepted configuration is in force on this host.
     duration config_propagation_limit = milliseconds(2000);
+    /// @brief Time after which the platform removes the entry of a silent backend server.
+    duration server_entry_lifetime = milliseconds(4000);
     /// @brief Retries allowed for each request of a service, over all entry hosts.
     double retry_ratio = 0.2;
     /// @brief Retries allowed in each window in addition to the ratio, over all entry hosts.
@@ -34,6 +36,8 @@
     duration retry_window = seconds(10);
     /// @brief Minimum time between the orders of two successive lease holders.
     duration holder_pause = milliseconds(3000);
+    /// @brief Whether the whole system starts for the first time, so that no process of an earlier run acts.
+    bool whole_system_starts = false;
     /// @brief Time between SIGTERM and SIGKILL when the host is stopped.
     duration stop_grace = seconds(8);
 
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -65,7 +65,7 @@
         std::make_shared<metrics_registry>(),
         std::make_shared<serving_traffic>(settings.value(), self.born, adapter.protocol),
         std::make_shared<serving_roles>(self, adapter.protocol, settings.value().holder_pause,
-                                        suspend_aware_clock_hook()),
+                                        suspend_aware_clock_hook(), settings.value().whole_system_starts),
         std::make_shared<serving_peers>(settings.value().peers),
         std::make_shared<serving_quarantine>([] { return std::chrono::system_clock::now(); }),
         directory};
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -157,7 +157,7 @@
                                     {"fetch_from", next.server.fetch_from},
                                     {"shared_parts", m_call.work ? shared_part_names(*m_call.work) : ""},
                                     {"time_left_ms", spec.time_left.count()},
-                                    {"fleet_revision", m_shared->pool.snapshot()->revision},
+                                    {"fleet_revision", m_shared->pool.snapshot()->revision.number},
                                     {"fleet_age_ms", now() - m_shared->pool.snapshot()->confirmed_at},
                                     {"config_version", m_routes->version()}});
     http::call_options options;
--- a/src/lease/lease_object.cpp
+++ b/src/lease/lease_object.cpp
@@ -18,7 +18,7 @@
     if (!value) {
         return value.error();
     }
-    return stored_lease{read.value().version, std::move(value.value())};
+    return stored_lease{{store_era(), read.value().version}, std::move(value.value())};
 }
 
 } // namespace parsleypitch
--- a/src/lease/lease_service.cpp
+++ b/src/lease/lease_service.cpp
@@ -110,8 +110,8 @@
                       std::to_string(m_options.self.born.value()) + "-" + std::to_string(++m_write_sequence));
     const lease_proposal proposal = m_state.propose(now, id);
     run_on_worker([writer = m_writer, key = m_options.key, proposal, id, now] {
-        const auto written =
-            writer.write({key, proposal.expected, proposal.base, id, detail::encode_lease(proposal.value)});
+        const auto written = writer.write(
+            {key, proposal.expected.number, proposal.base, id, detail::encode_lease(proposal.value)});
         return [proposal, written, now](lease_service& self) { self.finish_write(proposal, written, now); };
     });
 }
@@ -129,8 +129,8 @@
 void lease_service::finish_write(const lease_proposal& proposal, const result<applied_write>& written,
                                  time_point sent_at) {
     const time_point now = m_options.clock();
-    if (written && !written.value().superseded) {
-        m_state.on_written(proposal, written.value().version, sent_at);
+    const bool applied = written && !written.value().superseded;
+    if (applied && m_state.on_written(proposal, {store_era(), written.value().version}, sent_at)) {
         notify_change(now);
         return;
     }
--- a/src/lease/lease_state.cpp
+++ b/src/lease/lease_state.cpp
@@ -4,8 +4,17 @@
 
 namespace parsleypitch {
 
+fencing_number first_term(store_era era) {
+    constexpr unsigned bits_within_era = 32;
+    return fencing_number((era.value() << bits_within_era) + 1);
+}
+
 void lease_state::observe(const stored_lease& seen, time_point read_at) {
-    if (m_seen && seen.version <= m_seen->version) {
+    if (m_seen && seen.version.era > m_seen->version.era) {
+        on_restored(seen.version.era, read_at);
+    }
+    m_era = std::max(m_era, seen.version.era);
+    if (seen.version.era < m_era || (m_seen && seen.version <= m_seen->version)) {
         return;
     }
     m_seen = seen;
@@ -15,31 +24,64 @@
     }
 }
 
+void lease_state::on_restored(store_era now, time_point noticed_at) {
+    if (now <= m_era) {
+        return;
+    }
+    m_era = now;
+    m_whole_system_starts = false;
+    m_restored_at = noticed_at;
+    m_held_until =
+        valid(noticed_at) ? std::optional(m_sent_at + lease_duration - lease_margin) : std::nullopt;
+    m_seen.reset();
+    give_up();
+}
+
 lease_action lease_state::next(time_point now) const {
     if (valid(now)) {
         return now - m_sent_at >= lease_renewal_period ? lease_action::renew : lease_action::hold;
     }
-    if (!m_seen) {
-        return lease_action::wait;
+    return m_seen && is_available(now) ? lease_action::acquire : lease_action::wait;
+}
+
+bool lease_state::is_available(time_point now) const {
+    constexpr duration takeover = lease_duration + lease_margin;
+    if (m_held_until && now < *m_held_until) {
+        return true; // no other process can have held the lease before the restore
+    }
+    if (m_restored_at && now - *m_restored_at < takeover) {
+        return false;
+    }
+    if (now - m_version_seen_at >= takeover) {
+        return true;
     }
     // If this process was the last holder, it may acquire the lease without waiting: its term has ended, and
     // it no longer acts under it.
-    const bool available = m_seen->version == object_version(0) || m_seen->value.holder == m_self;
-    const bool expired = now - m_version_seen_at >= lease_duration + lease_margin;
-    return available || expired ? lease_action::acquire : lease_action::wait;
+    return never_existed() || m_seen->value.holder == m_self;
 }
 
 lease_proposal lease_state::propose(time_point now, const write_id& id) const {
     const stored_lease base = m_seen.value_or(stored_lease{});
-    const fencing_number term = valid(now) ? *m_term : base.value.term.next();
+    const fencing_number next_term = std::max(base.value.term.next(), first_term(m_era));
+    const fencing_number term = valid(now) ? *m_term : next_term;
     return {base.version, base.value.writes, {term, m_self, append_write_id(base.value.writes, id)}};
 }
 
-void lease_state::on_written(const lease_proposal& proposal, object_version version, time_point sent_at) {
+bool lease_state::on_written(const lease_proposal& proposal, const store_revision& version,
+                             time_point sent_at) {
+    if (version.era != proposal.expected.era || version.era < m_era) {
+        return false;
+    }
+    if (m_term != proposal.value.term) {
+        m_has_predecessor = !never_existed();
+    }
     m_seen = stored_lease{version, proposal.value};
     m_version_seen_at = sent_at;
     m_term = proposal.value.term;
     m_sent_at = sent_at;
+    m_held_until.reset();
+    m_restored_at.reset();
+    return true;
 }
 
 bool lease_state::valid(time_point now) const {
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 serving_directory::serving_directory(serve_settings settings, platform_adapter adapter)
-    : m_settings(std::move(settings)), m_adapter(std::move(adapter)) {
+    : m_settings(std::move(settings)), m_adapter(std::move(adapter)),
+      m_fleet(m_settings.server_entry_lifetime) {
 }
 
 service_name serving_directory::name() const {
@@ -52,11 +53,11 @@
     m_peers->open(object_key(m_settings.id.str()), m_store.host_entry, m_store.hosts);
     m_quarantine->open(m_store.quarantines, m_store.quarantine_record);
     watcher_hooks servers = make_watcher_hooks(host, servers_kind);
-    servers.listed = [this](const auto& all, object_version as_of) { on_servers_listed(all, as_of); };
+    servers.listed = [this](const auto& all, const auto& as_of) { on_servers_listed(all, as_of); };
     servers.changed = [this](const object_event_batch& batch) { on_servers_changed(batch); };
     m_server_watcher = std::make_shared<kind_watcher>(m_store.servers, std::move(servers));
     watcher_hooks configurations = make_watcher_hooks(host, configurations_kind);
-    configurations.listed = [this](const std::vector<directory_object>& all, object_version) {
+    configurations.listed = [this](const std::vector<directory_object>& all, const store_revision&) {
         record_contact(configurations_kind, true, "");
         std::for_each(all.begin(), all.end(), [this](const auto& object) { on_configuration(object); });
     };
@@ -103,7 +104,7 @@
                                            {"kind", kind},
                                            {"reason", reason},
                                            {"config_version", m_config_version},
-                                           {"fleet_revision", m_fleet.snapshot().revision}});
+                                           {"fleet_revision", m_fleet.snapshot().revision.number}});
     }
 }
 
@@ -118,7 +119,8 @@
     return std::nullopt;
 }
 
-void serving_directory::on_servers_listed(const std::vector<directory_object>& all, object_version as_of) {
+void serving_directory::on_servers_listed(const std::vector<directory_object>& all,
+                                          const store_revision& as_of) {
     record_contact(servers_kind, true, "");
     std::vector<backend_server_entry> entries;
     for (const directory_object& object : all) {
@@ -136,7 +138,7 @@
     for (const object_event& event : batch.events) {
         const backend_server_id id(event.object.name.str());
         if (event.removed) {
-            m_log->info("server_entry_removed", {{"server", id}, {"revision", event.object.revision}});
+            m_log->info("server_entry_removed", {{"server", id}, {"revision", event.object.revision.number}});
             // The event need not state the revision of the removal, so at least that of the batch is used.
             m_fleet.remove(id, std::max(event.object.revision, batch.as_of), now);
             continue;
@@ -153,7 +155,10 @@
     m_log->warning("store_restored", {{"era", now},
                                       {"era_before", before},
                                       {"config_version", m_config_version},
-                                      {"fleet_revision", m_fleet.snapshot().revision}});
+                                      {"fleet_revision", m_fleet.snapshot().revision.number}});
+    m_server_watcher->on_restored(now);
+    m_configuration_watcher->on_restored(now);
+    m_roles->on_restored(now);
 }
 
 void serving_directory::publish_fleet() {
@@ -162,7 +167,7 @@
         const bool gone = std::none_of(snapshot->servers.begin(), snapshot->servers.end(),
                                        [&known](const auto& entry) { return entry.id == known.id; });
         if (gone) {
-            m_log->info("server_gone", {{"server", known.id}, {"fleet_revision", snapshot->revision}});
+            m_log->info("server_gone", {{"server", known.id}, {"fleet_revision", snapshot->revision.number}});
         }
     }
     for (const backend_server_entry& entry : snapshot->servers) {
@@ -177,7 +182,8 @@
                                      {"role", to_string(entry.role)},
                                      {"draining", entry.draining},
                                      {"born", entry.born},
-                                     {"revision", entry.revision}});
+                                     {"revision", entry.revision.number},
+                                     {"era", entry.revision.era}});
     }
     m_published = snapshot->servers;
     m_roles->observe(m_published);
@@ -195,7 +201,7 @@
     auto decoded = m_store.decode_configuration(object);
     if (!decoded) {
         m_log->warning("configuration_refused",
-                       {{"revision", object.revision}, {"reason", to_string(decoded.error())}});
+                       {{"revision", object.revision.number}, {"reason", to_string(decoded.error())}});
         return;
     }
     auto table = std::make_shared<const route_table>(std::move(decoded.value()));
@@ -206,7 +212,8 @@
     }
     m_log->info("configuration_adopted", {{"version", table->version()},
                                           {"before", m_config_version},
-                                          {"revision", object.revision},
+                                          {"revision", object.revision.number},
+                                          {"era", object.revision.era},
                                           {"routes", std::uint64_t{table->routes()}}});
     m_config_version = table->version();
     m_traffic->adopt(std::move(table));
--- a/src/serving/serving_peers.cpp
+++ b/src/serving/serving_peers.cpp
@@ -41,21 +41,26 @@
 }
 
 void serving_peers::read_own() {
-    m_own_entry.read(false, [self = shared_from_this()](const result<directory_object>& read) {
-        if (read && decode_host(read.value().content) == self->m_report_address) {
-            self->add_listed_peers();
-        } else if (read || read.error().code == errc::object_not_found) {
-            self->write_own(read ? read.value().revision : object_version());
-        } else {
+    m_own_entry.read(false, [self = shared_from_this()](const result<object_reading>& read) {
+        if (!read) {
             self->retry([raw = self.get()] { raw->read_own(); }, read.error());
+            return;
+        }
+        const auto& own = read.value().object;
+        if (own && decode_host(own->content) == self->m_report_address) {
+            self->add_listed_peers();
+            return;
         }
+        self->write_own(own ? own->revision : store_revision{read.value().era, object_version()});
     });
 }
 
-void serving_peers::write_own(object_version expected) {
+void serving_peers::write_own(const store_revision& expected) {
     m_own_entry.write(encode_host(m_report_address), expected,
-                      [self = shared_from_this()](const result<object_version>& written) {
+                      [self = shared_from_this()](const result<store_revision>& written) {
                           if (written) {
+                              self->m_log->info("host_entry_written", {{"revision", written.value().number},
+                                                                       {"era", written.value().era}});
                               self->add_listed_peers();
                           } else {
                               self->retry([raw = self.get()] { raw->read_own(); }, written.error());
@@ -98,7 +103,11 @@
 }
 
 void serving_peers::schedule_check() {
+    if (std::exchange(m_check_scheduled, true)) {
+        return;
+    }
     m_kernel->post_control_after(host_list_check_period, [self = shared_from_this()] {
+        self->m_check_scheduled = false;
         if (self->m_stopped) {
             return;
         }
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -115,8 +115,15 @@
 }
 
 void serving_quarantine::on_page(const object_key& after, const object_page& page) {
+    adopt(page.objects);
+    if (page.has_more && !page.objects.empty() && page.objects.back().name != after) {
+        read(page.objects.back().name);
+    }
+}
+
+void serving_quarantine::adopt(const std::vector<directory_object>& objects) {
     std::vector<quarantined_parts> recorded;
-    for (const directory_object& object : page.objects) {
+    for (const directory_object& object : objects) {
         auto decoded = decode_quarantine_record(object.content, m_clock());
         if (!decoded) {
             m_log->warning("quarantine_record_refused",
@@ -136,9 +143,6 @@
         m_log->info("quarantine_records_read", {{"count", std::uint64_t{recorded.size()}}});
         m_traffic->adopt(std::move(recorded));
     }
-    if (page.has_more && !page.objects.empty() && page.objects.back().name != after) {
-        read(page.objects.back().name);
-    }
 }
 
 void serving_quarantine::record(const quarantined_parts& quarantined) {
@@ -146,19 +150,19 @@
         retry([raw = this, quarantined] { raw->record(quarantined); });
         return;
     }
-    write(quarantined, object_version());
+    write(quarantined, store_revision());
 }
 
-void serving_quarantine::write(const quarantined_parts& quarantined, object_version expected) {
+void serving_quarantine::write(const quarantined_parts& quarantined, const store_revision& expected) {
     m_record(record_name(quarantined))
         .write(encode_quarantine_record(quarantined, m_clock()), expected,
-               [self = shared_from_this(), quarantined](const result<object_version>& written) {
+               [self = shared_from_this(), quarantined](const result<store_revision>& written) {
                    self->on_written(quarantined, written);
                });
 }
 
 void serving_quarantine::on_written(const quarantined_parts& quarantined,
-                                    const result<object_version>& written) {
+                                    const result<store_revision>& written) {
     const object_key name = record_name(quarantined);
     if (written) {
         m_log->info("quarantine_recorded", {{"record", name}, {"existed", false}});
@@ -174,17 +178,18 @@
 void serving_quarantine::replace_earlier(const quarantined_parts& quarantined) {
     const object_key name = record_name(quarantined);
     const auto on_read = [self = shared_from_this(), quarantined,
-                          name](const result<directory_object>& existing) {
+                          name](const result<object_reading>& reading) {
+        const auto existing = reading ? reading.value().object : std::nullopt;
         if (!existing) {
             self->retry([raw = self.get(), quarantined] { raw->record(quarantined); });
             return;
         }
-        const auto known = decode_quarantine_record(existing.value().content, self->m_clock());
+        const auto known = decode_quarantine_record(existing->content, self->m_clock());
         if (known && known.value().remaining + same_end_tolerance >= quarantined.remaining) {
             self->m_log->info("quarantine_recorded", {{"record", name}, {"existed", true}});
             return;
         }
-        self->write(quarantined, existing.value().revision);
+        self->write(quarantined, existing->revision);
     };
     m_record(name).read(false, on_read);
 }
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -18,9 +18,9 @@
 } // namespace
 
 serving_roles::serving_roles(lease_holder self, backend_protocol protocol, duration holder_pause,
-                             clock_hook clock)
-    : m_lease(self), m_self(std::move(self)), m_protocol(std::move(protocol)), m_holder_pause(holder_pause),
-      m_clock(std::move(clock)) {
+                             clock_hook clock, bool whole_system_starts)
+    : m_lease(self, whole_system_starts), m_self(std::move(self)), m_protocol(std::move(protocol)),
+      m_holder_pause(holder_pause), m_clock(std::move(clock)) {
 }
 
 service_name serving_roles::name() const {
@@ -59,6 +59,12 @@
     m_lease_object = std::move(lease_object);
 }
 
+void serving_roles::on_restored(store_era now) {
+    m_lease.on_restored(now, m_clock());
+    m_read_needed = true;
+    m_next_call.reset();
+}
+
 void serving_roles::observe(const std::vector<backend_server_entry>& servers) {
     std::map<backend_service_id, std::vector<backend_server_entry>> by_service;
     for (const backend_server_entry& server : servers) {
@@ -105,7 +111,7 @@
     if (!m_term && term) {
         m_term = term.value();
         // No orders were sent before the first term, so it needs no pause.
-        const bool first = term.value() == fencing_number(1);
+        const bool first = !m_lease.has_predecessor();
         m_term_start = first ? now - m_holder_pause : now;
         m_log->info("authority_acquired", {{"term", term.value()}, {"first", first}});
     }
@@ -136,30 +142,31 @@
     m_call_in_progress = true;
     const time_point now = m_clock();
     m_next_call = stale ? std::optional<time_point>(now + lease_read_period) : std::nullopt;
-    m_lease_object->read(stale, [self = shared_from_this()](const result<directory_object>& read) {
+    m_lease_object->read(stale, [self = shared_from_this()](const result<object_reading>& read) {
         self->m_call_in_progress = false;
         self->on_read(read, self->m_clock());
     });
 }
 
-void serving_roles::on_read(const result<directory_object>& read, time_point at) {
-    if (!read && read.error().code == errc::object_not_found) {
-        m_read_needed = false;
-        m_lease.observe(stored_lease{}, at);
-        return;
-    }
+void serving_roles::on_read(const result<object_reading>& read, time_point at) {
     if (!read) {
         m_next_call = at + retry_delay;
         return;
     }
-    auto value = detail::decode_lease(read.value().content);
+    const auto& stored = read.value().object;
+    if (!stored) {
+        m_read_needed = false;
+        m_lease.observe({{read.value().era, object_version()}, {}}, at);
+        return;
+    }
+    auto value = detail::decode_lease(stored->content);
     if (!value) {
         m_log->warning("authority_unreadable", {{"reason", value.error().detail}});
         m_next_call = at + lease_read_period;
         return;
     }
     m_read_needed = false;
-    m_lease.observe({read.value().revision, std::move(value.value())}, at);
+    m_lease.observe({stored->revision, std::move(value.value())}, at);
 }
 
 void serving_roles::write_lease(time_point now) {
@@ -168,23 +175,23 @@
     const lease_proposal proposal = m_lease.propose(now, id);
     m_call_in_progress = true;
     m_lease_object->write(detail::encode_lease(proposal.value), proposal.expected,
-                          [self = shared_from_this(), proposal, now](const result<object_version>& written) {
+                          [self = shared_from_this(), proposal, now](const result<store_revision>& written) {
                               self->m_call_in_progress = false;
                               self->on_written(proposal, written, now);
                           });
 }
 
-void serving_roles::on_written(const lease_proposal& proposal, const result<object_version>& written,
+void serving_roles::on_written(const lease_proposal& proposal, const result<store_revision>& written,
                                time_point sent_at) {
-    if (written) {
-        m_lease.on_written(proposal, written.value(), sent_at);
+    if (written && m_lease.on_written(proposal, written.value(), sent_at)) {
         return;
     }
-    // After a conflict or a lost answer the holder has to be read from the store.
+    // After a conflict, a lost answer or a restore the holder has to be read from the store.
     m_read_needed = true;
     m_next_call = m_clock() + retry_delay;
     m_log->info("authority_write_failed",
-                {{"term", proposal.value.term}, {"reason", reason_name(written.error().code)}});
+                {{"term", proposal.value.term},
+                 {"reason", written ? "store_restored" : reason_name(written.error().code)}});
 }
 
 void serving_roles::send_orders(time_point now) {
--- a/tests/fault_lease.cpp
+++ b/tests/fault_lease.cpp
@@ -98,7 +98,8 @@
     self.next_call = now + seconds(1);
     const auto object = self.store.get(lease_object);
     if (object) {
-        self.state.observe({object.value().version, detail::decode_lease(object.value().bytes).value()}, now);
+        self.state.observe(
+            {{store_era(), object.value().version}, detail::decode_lease(object.value().bytes).value()}, now);
     } else if (object.error().code == errc::object_not_found) {
         self.state.observe({}, now);
     }
@@ -109,13 +110,13 @@
     const lease_proposal proposal = self.state.propose(now, id);
     const conditional_writer writer(self.store, history_of, [](unsigned) {});
     const auto written = writer.write(
-        {lease_object, proposal.expected, proposal.base, id, detail::encode_lease(proposal.value)});
+        {lease_object, proposal.expected.number, proposal.base, id, detail::encode_lease(proposal.value)});
     if (!written || written.value().superseded) {
         read(self, now);
         return;
     }
     const auto finish = [&self, proposal, version = written.value().version, now] {
-        self.state.on_written(proposal, version, now);
+        (void)self.state.on_written(proposal, {store_era(), version}, now);
     };
     if (self.pause_in_write > milliseconds(0)) {
         self.resumes_at = now + std::exchange(self.pause_in_write, milliseconds(0));
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -14,13 +14,13 @@
             m_lists.push_back(after.str());
             m_page_callback = std::move(done);
         };
-        source.watch = [this](object_version after, milliseconds wait, event_callback done) {
-            m_watches.push_back(after.value());
+        source.watch = [this](const store_revision& after, milliseconds wait, event_callback done) {
+            m_watches.push_back(after.number.value());
             EXPECT_EQ(wait, milliseconds(2000));
             m_event_callback = std::move(done);
         };
         watcher_hooks hooks;
-        hooks.listed = [this](const std::vector<directory_object>& all, object_version) {
+        hooks.listed = [this](const std::vector<directory_object>& all, const store_revision&) {
             m_listed.push_back(all.size());
         };
         hooks.changed = [this](const object_event_batch& batch) { m_changed += batch.events.size(); };
@@ -35,13 +35,17 @@
         m_watcher->start();
     }
 
-    static object_page page(std::initializer_list<const char*> names, bool more, std::uint64_t as_of) {
+    static store_revision revision(std::uint64_t number, std::uint64_t era = 1) {
+        return {store_era(era), object_version(number)};
+    }
+    static object_page page(std::initializer_list<const char*> names, bool more, std::uint64_t as_of,
+                            std::uint64_t era = 1) {
         object_page built;
         for (const char* name : names) {
-            built.objects.push_back({object_key(name), object_version(1), "{}"});
+            built.objects.push_back({object_key(name), revision(1), "{}"});
         }
         built.has_more = more;
-        built.as_of = object_version(as_of);
+        built.as_of = revision(as_of, era);
         return built;
     }
     void answer(object_page page) { std::exchange(m_page_callback, nullptr)(std::move(page)); }
@@ -89,10 +93,10 @@
 // Guards against changes that are fetched twice or skipped, and against one call for each change of a burst.
 TEST_F(kind_watcher_fixture, watch_after_an_answer_continues_from_its_revision) {
     answer(page({}, false, 7));
-    answer(object_event_batch{{{{object_key("a"), object_version(8), "{}"}, false}}, object_version(8)});
+    answer(object_event_batch{{{{object_key("a"), revision(8), "{}"}, false}}, revision(8)});
     EXPECT_EQ(m_delays, std::vector<duration>{m_coalesce_delay});
     run_scheduled();
-    answer(object_event_batch{{}, object_version(11)});
+    answer(object_event_batch{{}, revision(11)});
     EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 8, 11}));
     EXPECT_EQ(m_changed, 1U);
 }
@@ -117,7 +121,7 @@
     EXPECT_EQ(m_delays.front(), first_retry_delay);
     EXPECT_EQ(m_delays.back(), longest_retry_delay);
     EXPECT_EQ(m_watches.back(), 7U);
-    answer(object_event_batch{{}, object_version(7)});
+    answer(object_event_batch{{}, revision(7)});
     answer(result<object_event_batch>(fail(errc::platform_unreachable, "")));
     EXPECT_EQ(m_delays.back(), first_retry_delay);
 }
@@ -130,4 +134,63 @@
     EXPECT_TRUE(m_watches.empty());
 }
 
+// Guards against changes that nobody sees: a watch from a revision that a restored store has given out again
+// gets no refusal and leaves out what differs below it.
+TEST_F(kind_watcher_fixture, watch_answer_of_a_later_era_lists_again) {
+    answer(page({"a", "b"}, false, 7));
+    answer(object_event_batch{{{{object_key("a"), revision(8, 2), "{}"}, false}}, revision(8, 2)});
+    EXPECT_EQ(m_changed, 0U);
+    answer(page({"a"}, false, 8, 2));
+    EXPECT_EQ(m_listed, (std::vector<std::size_t>{2, 1}));
+    EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 8}));
+}
+
+// Guards against a host that learns of a restore by another call and waits for its own watch to end.
+TEST_F(kind_watcher_fixture, restore_while_a_watch_waits_lists_at_once_and_drops_the_answer_of_the_watch) {
+    answer(page({"a"}, false, 7));
+    const event_callback old_watch = std::exchange(m_event_callback, nullptr);
+    m_watcher->on_restored(store_era(2));
+    EXPECT_EQ(m_lists, (std::vector<std::string>{"", ""}));
+    old_watch(object_event_batch{{{{object_key("b"), revision(8), "{}"}, false}}, revision(8)});
+    EXPECT_EQ(m_changed, 0U);
+    answer(page({}, false, 5, 2));
+    EXPECT_EQ(m_listed, (std::vector<std::size_t>{1, 0}));
+    EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 5}));
+    m_watcher->on_restored(store_era(2));
+    EXPECT_EQ(m_lists.size(), 2U) << "listed twice in one era";
+}
+
+// Guards against a list whose pages are from before and after a restore.
+TEST_F(kind_watcher_fixture, page_of_a_later_era_begins_the_list_anew) {
+    answer(page({"a", "b"}, true, 7));
+    answer(page({"c"}, false, 6, 2));
+    EXPECT_TRUE(m_listed.empty());
+    EXPECT_EQ(m_lists, (std::vector<std::string>{"", "b", ""}));
+    answer(page({"a"}, false, 6, 2));
+    EXPECT_EQ(m_listed, std::vector<std::size_t>{1});
+    EXPECT_EQ(m_watches, std::vector<std::uint64_t>{6});
+}
+
+// Guards against an answer from before a restore that arrives after it.
+TEST_F(kind_watcher_fixture, answer_of_an_earlier_era_is_dropped_and_the_call_repeated) {
+    answer(page({"a"}, false, 7, 2));
+    answer(object_event_batch{{{{object_key("b"), revision(9), "{}"}, false}}, revision(9)});
+    EXPECT_EQ(m_changed, 0U);
+    EXPECT_EQ(m_failures, std::vector<std::error_code>{errc::platform_answer_lost});
+    run_scheduled();
+    EXPECT_EQ(m_watches, (std::vector<std::uint64_t>{7, 7}));
+}
+
+// Guards against two restores in a row that are taken for one.
+TEST_F(kind_watcher_fixture, second_restore_during_the_list_of_the_first_lists_once_more) {
+    answer(page({"a"}, false, 7));
+    m_watcher->on_restored(store_era(2));
+    const page_callback second_list = std::exchange(m_page_callback, nullptr);
+    m_watcher->on_restored(store_era(3));
+    second_list(page({"a", "b"}, false, 6, 2));
+    EXPECT_EQ(m_listed, std::vector<std::size_t>{1});
+    answer(page({}, false, 5, 3));
+    EXPECT_EQ(m_listed, (std::vector<std::size_t>{1, 0}));
+}
+
 } // namespace parsleypitch
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -15,12 +15,14 @@
     static time_point at(milliseconds since_start) { return time_point(std::chrono::hours(1) + since_start); }
 
     /// Writes the proposal of `state` at `now` to the simulated store.
-    object_version write(lease_state& state, time_point now) {
+    void write(lease_state& state, time_point now) {
         const auto proposal = state.propose(now, write_id("w" + std::to_string(++m_sequence)));
         EXPECT_EQ(proposal.expected, m_stored.version);
-        m_stored = {m_stored.version.next(), proposal.value};
-        state.on_written(proposal, m_stored.version, now);
-        return m_stored.version;
+        m_stored = {next_version(), proposal.value};
+        EXPECT_TRUE(state.on_written(proposal, m_stored.version, now));
+    }
+    [[nodiscard]] store_revision next_version() const {
+        return {m_stored.version.era, m_stored.version.number.next()};
     }
 
     stored_lease m_stored;
@@ -75,12 +77,135 @@
     ASSERT_EQ(m_first.next(at(milliseconds(6000))), lease_action::acquire);
     write(m_first, at(milliseconds(6000)));
     EXPECT_EQ(m_first.current(at(milliseconds(6000))).value(), fencing_number(2));
-    m_first.observe(
-        {m_stored.version.next(), {fencing_number(3), {entry_host_id("second"), incarnation(1)}, {}}},
-        at(milliseconds(6001)));
+    m_first.observe({next_version(), {fencing_number(3), {entry_host_id("second"), incarnation(1)}, {}}},
+                    at(milliseconds(6001)));
     EXPECT_FALSE(m_first.valid(at(milliseconds(6001))));
 }
 
+/// A store that states eras and is restored from a copy.
+class restored_lease_fixture : public lease_state_fixture {
+  protected:
+    void SetUp() override { m_stored.version.era = store_era(1); }
+    /// The stored lease goes back; both processes learn of it.
+    void restore(const stored_lease& copy, time_point now) {
+        m_stored = copy;
+        m_stored.version.era = m_stored.version.era.next();
+        m_first.observe(m_stored, now);
+        m_second.observe(m_stored, now);
+    }
+    [[nodiscard]] static std::uint64_t term(const lease_state& state, time_point now) {
+        return state.current(now).value().value();
+    }
+
+    lease_state m_first{{entry_host_id("first"), incarnation(1)}, true};
+};
+
+// Guards against a lease that nobody holds again: hosts ignored the restored lease for its lower revision and
+// wrote with the lost one for ever.
+TEST_F(restored_lease_fixture, holder_after_a_restore_acquires_a_higher_term_at_once) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    const stored_lease copy = m_stored;
+    write(m_first, at(milliseconds(2000)));
+    const std::uint64_t before = term(m_first, at(milliseconds(2500)));
+    restore(copy, at(milliseconds(3000)));
+    EXPECT_FALSE(m_first.valid(at(milliseconds(3000)))) << "acts under a term that the store has lost";
+    ASSERT_EQ(m_first.next(at(milliseconds(3000))), lease_action::acquire);
+    write(m_first, at(milliseconds(3000)));
+    EXPECT_GT(term(m_first, at(milliseconds(3000))), before);
+    EXPECT_TRUE(m_first.has_predecessor());
+}
+
+// Guards against two holders: the holder of the lost time may be cut off and still act.
+TEST_F(restored_lease_fixture, other_process_after_a_restore_waits_until_a_lost_lease_has_ended) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    const stored_lease without_lease = m_stored;
+    write(m_first, at(milliseconds(0)));
+    m_stored = without_lease;
+    m_stored.version.era = store_era(2);
+    m_second.observe(m_stored, at(milliseconds(100)));
+    EXPECT_TRUE(m_first.valid(at(milliseconds(4999))));
+    EXPECT_EQ(m_second.next(at(milliseconds(7099))), lease_action::wait);
+    EXPECT_EQ(m_second.next(at(milliseconds(7100))), lease_action::acquire);
+}
+
+// Guards against one fencing number for two holders, and against a lower one after a higher one.
+TEST_F(restored_lease_fixture, term_after_a_restore_is_above_all_terms_of_the_lost_time) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    const stored_lease without_lease = m_stored;
+    write(m_first, at(milliseconds(0)));
+    m_second.observe(m_stored, at(milliseconds(0)));
+    write(m_second, at(milliseconds(8000)));
+    const std::uint64_t lost = term(m_second, at(milliseconds(8000)));
+    restore(without_lease, at(milliseconds(20'000)));
+    write(m_first, at(milliseconds(28'000)));
+    EXPECT_GT(term(m_first, at(milliseconds(28'000))), lost);
+}
+
+// Guards against a holder that acquired the lease in the lost time and lost it to a copy in which another
+// process, or itself long ago, held it.
+TEST_F(restored_lease_fixture, former_holder_of_the_copy_waits_like_the_others) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    const stored_lease copy = m_stored;
+    m_second.observe(m_stored, at(milliseconds(0)));
+    write(m_second, at(milliseconds(8000)));
+    restore(copy, at(milliseconds(9000)));
+    EXPECT_EQ(m_first.next(at(milliseconds(9000))), lease_action::wait);
+    EXPECT_EQ(m_first.next(at(milliseconds(15'999))), lease_action::wait);
+    EXPECT_EQ(m_second.next(at(milliseconds(9000))), lease_action::acquire);
+}
+
+// Guards against a holder that was cut off during the restore and takes the lease when another process may
+// hold it already.
+TEST_F(restored_lease_fixture, holder_that_learns_of_the_restore_after_its_term_has_no_privilege) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    const stored_lease copy = m_stored;
+    restore(copy, at(milliseconds(5000)));
+    EXPECT_EQ(m_first.next(at(milliseconds(5000))), lease_action::wait);
+}
+
+// Guards against a privilege that outlasts the undone term.
+TEST_F(restored_lease_fixture,
+       holder_that_can_not_write_after_the_restore_waits_once_its_term_would_have_ended) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    restore(m_stored, at(milliseconds(1000)));
+    EXPECT_EQ(m_first.next(at(milliseconds(4999))), lease_action::acquire);
+    EXPECT_EQ(m_first.next(at(milliseconds(5000))), lease_action::wait);
+}
+
+// Guards against a term from a write that was under way during the restore and met a revision given out
+// twice.
+TEST_F(restored_lease_fixture, write_that_a_restored_store_has_accepted_gives_no_term) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    const lease_proposal proposal = m_first.propose(at(milliseconds(0)), write_id("w"));
+    EXPECT_FALSE(m_first.on_written(proposal, {store_era(2), object_version(1)}, at(milliseconds(0))));
+    EXPECT_FALSE(m_first.valid(at(milliseconds(1))));
+}
+
+// Guards against a stale read from before the restore.
+TEST_F(restored_lease_fixture, lease_of_an_earlier_era_is_ignored) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    const stored_lease old = m_stored;
+    restore(old, at(milliseconds(6000)));
+    const stored_lease newer{{store_era(1), object_version(99)},
+                             {fencing_number(9), {entry_host_id("third"), incarnation(1)}, {}}};
+    m_second.observe(newer, at(milliseconds(6100)));
+    EXPECT_EQ(m_second.propose(at(milliseconds(14'000)), write_id("x")).expected, m_stored.version);
+}
+
+// Guards against a host that starts right after a restore and finds no lease, while the holder still acts.
+TEST_F(restored_lease_fixture, missing_lease_is_free_at_once_only_when_the_whole_system_starts) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    EXPECT_EQ(m_first.next(at(milliseconds(0))), lease_action::acquire);
+    m_second.observe(m_stored, at(milliseconds(0)));
+    EXPECT_EQ(m_second.next(at(milliseconds(6999))), lease_action::wait);
+    EXPECT_EQ(m_second.next(at(milliseconds(7000))), lease_action::acquire);
+}
+
 class lease_service_fixture : public testing::Test {
   protected:
     void SetUp() override {
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -226,7 +226,7 @@
 class stale_host_finder_fixture : public testing::Test {
   protected:
     static listed_host entry(const std::string& name, std::uint64_t revision = 1) {
-        return {object_key(name), object_version(revision), endpoint(name + ":1")};
+        return {object_key(name), {store_era(), object_version(revision)}, endpoint(name + ":1")};
     }
     std::vector<std::string> find(const std::vector<listed_host>& listed,
                                   const std::vector<std::string>& active) {
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -11,8 +11,9 @@
 class directory_codec_fixture : public testing::Test {
   protected:
     static directory_object object(const std::string& content) {
-        return {object_key("i-1"), object_version(5), content};
+        return {object_key("i-1"), revision, content};
     }
+    static constexpr store_revision revision{store_era(2), object_version(5)};
     static std::string entry(const std::string& replaced = "", const std::string& by = "") {
         std::string text = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,)"
                            R"("state":"ready","stage":"decode","born":123,"sequence":4})";
@@ -33,7 +34,7 @@
     EXPECT_EQ(decoded.value().address, endpoint("10.0.0.1:80"));
     EXPECT_EQ(decoded.value().role, engine_role::decode);
     EXPECT_EQ(decoded.value().slots, 64U);
-    EXPECT_EQ(decoded.value().revision, object_version(5));
+    EXPECT_EQ(decoded.value().revision, revision);
     EXPECT_FALSE(decoded.value().draining);
     EXPECT_TRUE(decode_backend_server(object(entry("ready", "draining"))).value().draining);
 }
@@ -106,10 +107,11 @@
 
 class store_codec_fixture : public testing::Test {
   protected:
-    static http::response answer(unsigned status, std::string body) {
-        http::response built;
-        built.head.status = status;
-        built.body = std::move(body);
+    static store_answer answer(unsigned status, std::string body) {
+        store_answer built;
+        built.response.head.status = status;
+        built.response.body = std::move(body);
+        built.era = store_era(3);
         return built;
     }
 };
@@ -124,7 +126,7 @@
     EXPECT_EQ(page.value().objects[0].name, object_key("a"));
     EXPECT_EQ(page.value().objects[0].content, R"({"x":1})");
     EXPECT_TRUE(page.value().has_more);
-    EXPECT_EQ(page.value().as_of, object_version(9));
+    EXPECT_EQ(page.value().as_of, (store_revision{store_era(3), object_version(9)}));
 }
 
 // Guards against errors that are taken for a watch without changes.
--- a/tests/unit-serving-quarantine.cpp
+++ b/tests/unit-serving-quarantine.cpp
@@ -19,10 +19,12 @@
         serve_settings settings;
         settings.callers = endpoint("127.0.0.1:0");
         settings.readiness = endpoint("127.0.0.1:0");
-        m_service = std::make_shared<serving_quarantine>([] { return std::chrono::system_clock::now(); });
+        m_service = std::make_shared<serving_quarantine>([] { return std::chrono::system_clock::now(); },
+                                                         [](std::uint64_t) { return std::uint64_t{0}; });
+        m_traffic = std::make_shared<serving_traffic>(settings, incarnation(1), backend_protocol{});
         const std::vector<std::shared_ptr<service>> services = {
-            std::make_shared<event_log>(event_log_options{.descriptor = -1}), m_metrics,
-            std::make_shared<serving_traffic>(settings, incarnation(1), backend_protocol{}), m_service};
+            std::make_shared<event_log>(event_log_options{.descriptor = -1}), m_metrics, m_traffic,
+            m_service};
         for (const auto& each : services) {
             ASSERT_TRUE(m_host.add(each));
         }
@@ -52,29 +54,29 @@
         object_handle handle;
         handle.read = [this, name](bool, auto done) {
             const auto found = m_objects.find(name);
-            done(found == m_objects.end() ? result<directory_object>(fail(errc::object_not_found, ""))
-                                          : result<directory_object>(found->second));
+            auto object = found == m_objects.end() ? std::nullopt : std::optional(found->second);
+            done(result<object_reading>(object_reading{std::move(object), store_era()}));
         };
-        handle.write = [this, name](const std::string& content, object_version expected, auto done) {
+        handle.write = [this, name](const std::string& content, const store_revision& expected, auto done) {
             done(write(name, content, expected));
         };
-        handle.remove = [this, name](object_version, auto done) {
+        handle.remove = [this, name](const store_revision&, auto done) {
             m_objects.erase(name);
             done(success());
         };
         return handle;
     }
-    result<object_version> write(const object_key& name, const std::string& content,
-                                 object_version expected) {
+    result<store_revision> write(const object_key& name, const std::string& content,
+                                 const store_revision& expected) {
         if (m_down) {
             return fail(errc::platform_unreachable, "");
         }
         const auto found = m_objects.find(name);
-        const object_version current = found == m_objects.end() ? object_version() : found->second.revision;
-        if (current != expected) {
+        const store_revision current = found == m_objects.end() ? store_revision() : found->second.revision;
+        if (current.number != expected.number) {
             return fail(errc::version_conflict, "");
         }
-        const object_version next(current.value() + 1);
+        const store_revision next{store_era(), current.number.next()};
         m_objects[name] = {name, next, content};
         return next;
     }
@@ -106,8 +108,11 @@
         return left;
     }
 
+    static constexpr store_revision first_revision{store_era(), object_version(1)};
+
     kernel m_host{0};
     std::shared_ptr<metrics_registry> m_metrics = std::make_shared<metrics_registry>();
+    std::shared_ptr<serving_traffic> m_traffic;
     std::shared_ptr<serving_quarantine> m_service;
     std::map<object_key, directory_object> m_objects;
     bool m_down = false;
@@ -143,10 +148,10 @@
 // Guards against hosts that forget quarantines when all of them restart.
 TEST_F(serving_quarantine_fixture, records_in_force_are_adopted_at_the_start_and_ended_ones_removed) {
     const auto now = std::chrono::system_clock::now();
-    m_objects[object_key("a")] = {object_key("a"), object_version(1),
+    m_objects[object_key("a")] = {object_key("a"), first_revision,
                                   encode_quarantine_record(parts(std::chrono::hours(1)), now)};
-    m_objects[object_key("b")] = {object_key("b"), object_version(1), R"({"parts":["9"],"until_ms":1})"};
-    m_objects[object_key("c")] = {object_key("c"), object_version(1), "not a record"};
+    m_objects[object_key("b")] = {object_key("b"), first_revision, R"({"parts":["9"],"until_ms":1})"};
+    m_objects[object_key("c")] = {object_key("c"), first_revision, "not a record"};
     open();
     const time_point give_up = std::chrono::steady_clock::now() + seconds(5);
     while (m_metrics->exposition().find("parsleypitch_quarantines_total 1") == std::string::npos &&
--- a/tests/unit-serving-roles.cpp
+++ b/tests/unit-serving-roles.cpp
@@ -20,27 +20,27 @@
         handle.read = [this, &host](bool, auto done) {
             host.post_control([answer = read(), done] { done(answer); });
         };
-        handle.write = [this, &host](const std::string& content, object_version expected, auto done) {
+        handle.write = [this, &host](const std::string& content, const store_revision& expected, auto done) {
             host.post_control([answer = write(content, expected), done] { done(answer); });
         };
         return handle;
     }
-    result<directory_object> read() {
+    result<object_reading> read() {
         const std::lock_guard lock(m_mutex);
         if (m_down) {
             return fail(errc::platform_unreachable, "");
         }
         if (m_revision == 0) {
-            return fail(errc::object_not_found, "");
+            return object_reading{std::nullopt, m_era};
         }
-        return directory_object{object_key("lease"), object_version(m_revision), m_content};
+        return object_reading{directory_object{object_key("lease"), revision(), m_content}, m_era};
     }
-    result<object_version> write(const std::string& content, object_version expected) {
+    result<store_revision> write(const std::string& content, const store_revision& expected) {
         const std::lock_guard lock(m_mutex);
         if (m_down) {
             return fail(errc::platform_unreachable, "");
         }
-        if (expected.value() != m_revision) {
+        if (expected.number.value() != m_revision) {
             return fail(errc::version_conflict, "");
         }
         m_content = content;
@@ -49,7 +49,7 @@
             --m_lose_answers;
             return fail(errc::platform_answer_lost, "");
         }
-        return object_version(m_revision);
+        return revision();
     }
     void set_down(bool down) {
         const std::lock_guard lock(m_mutex);
@@ -61,13 +61,32 @@
     }
     std::string holder() {
         const auto current = read();
-        return current ? detail::decode_lease(current.value().content).value().holder.id.str() : "";
+        return current && current.value().object
+                   ? detail::decode_lease(current.value().object->content).value().holder.id.str()
+                   : "";
+    }
+    void make_copy() {
+        const std::lock_guard lock(m_mutex);
+        m_copied_content = m_content;
+        m_copied_revision = m_revision;
+    }
+    /// Goes back to the copy and begins a new era.
+    void restore() {
+        const std::lock_guard lock(m_mutex);
+        m_content = m_copied_content;
+        m_revision = m_copied_revision;
+        m_era = m_era.next();
     }
 
   private:
+    [[nodiscard]] store_revision revision() const { return {m_era, object_version(m_revision)}; }
+
     std::mutex m_mutex;
     std::string m_content;
     std::uint64_t m_revision = 0;
+    store_era m_era;
+    std::string m_copied_content;
+    std::uint64_t m_copied_revision = 0;
     bool m_down = false;
     int m_lose_answers = 0;
 };
@@ -254,4 +273,27 @@
     EXPECT_EQ(sent.front().term, 2U);
 }
 
+// Guards against roles that nobody changes any more: after a restore every host wrote the lease in vain.
+TEST_F(serving_roles_fixture, holder_after_a_restore_sends_orders_with_a_higher_term) {
+    start_host("a");
+    start_host("b");
+    advance(milliseconds(1000));
+    set_engines("a", 4, 0, 1);
+    set_engines("b", 4, 0, 1);
+    advance_until_orders(2);
+    const auto before = orders();
+    ASSERT_EQ(before.size(), 2U);
+    m_lease_object.make_copy();
+    advance(milliseconds(4500)); // the holder renews its lease
+    m_lease_object.restore();
+    set_engines("a", 4, 0, 2);
+    set_engines("b", 4, 0, 2);
+    advance_until_orders(4);
+    const auto after = orders();
+    ASSERT_EQ(after.size(), 4U);
+    EXPECT_EQ(after.back().holder, m_lease_object.holder());
+    EXPECT_GT(after.back().term, before.back().term);
+    EXPECT_EQ(after[2].term, after[3].term);
+}
+
 } // namespace parsleypitch
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -36,6 +36,9 @@
     static void send(tcp::socket& socket, const std::string& text) {
         asio::write(socket, asio::buffer(text));
     }
+    static store_revision revision(std::uint64_t number, std::uint64_t era = 0) {
+        return {store_era(era), object_version(number)};
+    }
     static std::string events(std::uint64_t as_of) {
         return R"({"events":[],"as_of":)" + std::to_string(as_of) + "}";
     }
@@ -59,14 +62,14 @@
 // connection of the next write.
 TEST_F(store_client_fixture, write_of_an_object_uses_a_connection_of_its_own) {
     const object_handle lease = m_client->object("leases", "l");
-    lease.write("{}", object_version(1), [](const result<object_version>&) {});
+    lease.write("{}", revision(1), [](const result<store_revision>&) {});
     run();
     tcp::socket first = accept();
     (void)read(first);
     send(first, answer(R"({"metadata":{"name":"l","revision":2}})"));
     run();
-    std::optional<result<object_version>> written;
-    lease.write("{}", object_version(2), [&written](const result<object_version>& got) { written = got; });
+    std::optional<result<store_revision>> written;
+    lease.write("{}", revision(2), [&written](const result<store_revision>& got) { written = got; });
     send(first, answer(R"({"metadata":{"name":"l","revision":2}})"));
     run();
     EXPECT_FALSE(written) << "the second copy answers no call";
@@ -76,20 +79,20 @@
     run();
     ASSERT_TRUE(written);
     ASSERT_TRUE(*written);
-    EXPECT_EQ(written->value(), object_version(3));
+    EXPECT_EQ(written->value(), revision(3));
 }
 
 // Guards against a watch of the configuration that skips a version because it got an answer about servers.
 TEST_F(store_client_fixture, watches_of_two_kinds_share_no_connection) {
     const object_source servers = m_client->source("servers");
     const object_source configurations = m_client->source("config");
-    servers.watch(object_version(5), milliseconds(0), [](const result<object_event_batch>&) {});
+    servers.watch(revision(5), milliseconds(0), [](const result<object_event_batch>&) {});
     run();
     tcp::socket first = accept();
     (void)read(first);
     send(first, answer(events(9)));
     run();
-    configurations.watch(object_version(5), milliseconds(0), [](const result<object_event_batch>&) {});
+    configurations.watch(revision(5), milliseconds(0), [](const result<object_event_batch>&) {});
     run();
     EXPECT_TRUE(has_another_connection());
 }
@@ -99,7 +102,7 @@
     const object_source servers = m_client->source("servers");
     std::optional<result<object_event_batch>> got;
     const auto receive = [&got](const result<object_event_batch>& batch) { got = batch; };
-    servers.watch(object_version(9), milliseconds(0), receive);
+    servers.watch(revision(9), milliseconds(0), receive);
     run();
     tcp::socket socket = accept();
     (void)read(socket);
@@ -117,7 +120,7 @@
         [&restored](store_era before, store_era now) { restored.emplace_back(before, now); });
     const object_source servers = m_client->source("servers");
     const auto ask = [&](const std::string& head) {
-        servers.watch(object_version(5), milliseconds(0), [](const result<object_event_batch>&) {});
+        servers.watch(revision(5), milliseconds(0), [](const result<object_event_batch>&) {});
         run();
         tcp::socket socket = accept();
         (void)read(socket);
@@ -133,4 +136,48 @@
     EXPECT_EQ(restored, (std::vector<std::pair<store_era, store_era>>{{store_era(4), store_era(5)}}));
 }
 
+// Guards against an answer from before a restore, or a stale read, that arrives after it.
+TEST_F(store_client_fixture, answer_of_an_earlier_era_is_refused) {
+    const object_handle lease = m_client->object("leases", "l");
+    std::vector<result<object_reading>> read_answers;
+    const auto ask = [&](const std::string& era) {
+        lease.read(true, [&](const result<object_reading>& got) { read_answers.push_back(got); });
+        run();
+        tcp::socket socket = accept();
+        (void)read(socket);
+        send(socket, "HTTP/1.1 404 Not Found\r\n" + era + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        run();
+    };
+    ask("Store-Era: 2\r\n");
+    ask("Store-Era: 1\r\n");
+    ask("");
+    ASSERT_EQ(read_answers.size(), 3U);
+    ASSERT_TRUE(read_answers[0]);
+    EXPECT_EQ(read_answers[0].value().era, store_era(2));
+    EXPECT_EQ(read_answers[1].error().code, errc::platform_answer_lost);
+    ASSERT_TRUE(read_answers[2]) << "an answer without an era belongs to the latest one";
+    EXPECT_EQ(read_answers[2].value().era, store_era(2));
+}
+
+// Guards against a conditional write that succeeds because a restored store has given its revision to another
+// change.
+TEST_F(store_client_fixture, write_with_a_revision_from_before_a_restore_is_not_sent) {
+    const object_handle lease = m_client->object("leases", "l");
+    lease.read(false, [](const result<object_reading>&) {});
+    run();
+    tcp::socket socket = accept();
+    (void)read(socket);
+    send(socket, "HTTP/1.1 404 Not Found\r\nStore-Era: 2\r\nContent-Length: 0\r\n\r\n");
+    run();
+    std::optional<result<store_revision>> written;
+    lease.write("{}", revision(5, 1), [&](const result<store_revision>& got) { written = got; });
+    std::optional<result<void>> removed;
+    lease.remove(revision(5, 1), [&](const result<void>& got) { removed = got; });
+    run();
+    ASSERT_TRUE(written && removed);
+    EXPECT_EQ(written->error().code, errc::version_conflict);
+    EXPECT_EQ(removed->error().code, errc::version_conflict);
+    EXPECT_FALSE(has_another_connection());
+}
+
 } // namespace parsleypitch::platform
