Write host entries and quarantines again after a restore of the store

An entry host writes its entry and each quarantine once. A restore that goes back behind that leaves both missing for good: hosts that start do not find the host, so that its share of retries and limits is used twice, and a restart of all hosts forgets the quarantines.

Change: on a restore a host reads its own entry, writes it if the copy lacks it, and lists the others again.

The test of the quarantine records calls the service itself and was not run against the former code, which has no such call.

--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -127,6 +127,8 @@
     void note_peer_report(const work_report& report);
     /// @brief Returns the quarantines in force, for hosts that get no reports of work.
     [[nodiscard]] work_report heartbeat();
+    /// @brief Returns all quarantines in force.
+    [[nodiscard]] std::vector<quarantined_parts> quarantined() const;
     /// @brief Applies quarantines that other hosts have recorded.
     void adopt(const std::vector<quarantined_parts>& recorded);
     /// @brief Forgets entry hosts whose last report has expired.
--- a/include/parsleypitch/serving/serving_peers.hpp
+++ b/include/parsleypitch/serving/serving_peers.hpp
@@ -64,6 +64,10 @@
     void open(const object_key& own, std::function<object_handle(const object_key&)> host_entry,
               object_source hosts);
 
+    /// @brief Adds this host again if the copy from which the store was restored lacks it, and reads the
+    /// list anew. Called on the control thread.
+    void on_restored();
+
   private:
     void read_own();
     void write_own(const store_revision& expected);
--- a/include/parsleypitch/serving/serving_quarantine.hpp
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -46,12 +46,16 @@
     /// @brief Writes a record, over one that ends earlier, until the store has it. Called on the control
     /// thread.
     void record(const quarantined_parts& quarantined);
+    /// @brief Reads the records again and writes missing ones. Called on the control thread.
+    void on_restored();
 
   private:
     void read(const object_key& after);
     void on_page(const object_key& after, const object_page& page);
     /// Adopts the records in force and removes those that have ended.
     void adopt(const std::vector<directory_object>& objects);
+    /// Writes the quarantines in force on this host that the records read last lack.
+    void write_missing();
     void write(const quarantined_parts& quarantined, const store_revision& expected);
     void on_written(const quarantined_parts& quarantined, const result<store_revision>& written);
     /// Replaces the record of an earlier quarantine of the same parts.
@@ -65,6 +69,10 @@
     std::shared_ptr<serving_traffic> m_traffic;
     object_source m_records;
     std::function<object_handle(const object_key&)> m_record;
+    /// Names of the records read in the current or last reading.
+    std::set<object_key> m_recorded;
+    /// Set while missing records have to be written after the current reading.
+    bool m_write_missing = false;
     bool m_stopped = false;
 };
 
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -43,6 +43,8 @@
     void add_peers(std::vector<endpoint> listed);
     /// @brief Passes the report addresses of the active peers to `receiver` on the control thread.
     void query_peers(std::function<void(std::vector<endpoint>)> receiver);
+    /// @brief Passes the quarantines in force to `receiver` on the control thread.
+    void query_quarantines(std::function<void(std::vector<quarantined_parts>)> receiver);
 
   private:
     struct state;
--- a/src/forwarding/forwarder_quarantine.cpp
+++ b/src/forwarding/forwarder_quarantine.cpp
@@ -65,6 +65,10 @@
     return report;
 }
 
+std::vector<quarantined_parts> forwarder::quarantined() const {
+    return m_state->quarantine.quarantined(m_state->hooks.now());
+}
+
 void forwarder::adopt(const std::vector<quarantined_parts>& recorded) {
     for (const quarantined_parts& each : recorded) {
         if (m_state->quarantine.adopt(each, m_state->hooks.now())) {
--- a/src/serving/serving_directory.cpp
+++ b/src/serving/serving_directory.cpp
@@ -159,6 +159,8 @@
     m_server_watcher->on_restored(now);
     m_configuration_watcher->on_restored(now);
     m_roles->on_restored(now);
+    m_peers->on_restored();
+    m_quarantine->on_restored();
 }
 
 void serving_directory::publish_fleet() {
--- a/src/serving/serving_peers.cpp
+++ b/src/serving/serving_peers.cpp
@@ -40,6 +40,12 @@
     }
 }
 
+void serving_peers::on_restored() {
+    if (!m_report_address.empty() && m_own_entry.read) {
+        read_own();
+    }
+}
+
 void serving_peers::read_own() {
     m_own_entry.read(false, [self = shared_from_this()](const result<object_reading>& read) {
         if (!read) {
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds retry_delay{1000};
+/// Longest time after a restore of the store before a host writes missing records.
+constexpr milliseconds rewrite_spread{3000};
 /// Records whose ends differ by less tell of the same quarantine, which several hosts have begun.
 constexpr std::chrono::minutes same_end_tolerance{1};
 constexpr const char* parts_key = "parts";
@@ -104,7 +106,23 @@
     read(object_key());
 }
 
+void serving_quarantine::on_restored() {
+    if (!m_records.list) {
+        return;
+    }
+    const milliseconds delay(static_cast<std::int64_t>(m_random(std::uint64_t{rewrite_spread.count()})));
+    m_kernel->post_control_after(delay, [self = shared_from_this()] {
+        if (!self->m_stopped) {
+            self->m_write_missing = true;
+            self->read(object_key());
+        }
+    });
+}
+
 void serving_quarantine::read(const object_key& after) {
+    if (after.empty()) {
+        m_recorded.clear();
+    }
     m_records.list(after, [self = shared_from_this(), after](const result<object_page>& page) {
         if (!page) {
             self->retry([raw = self.get(), after] { raw->read(after); });
@@ -118,12 +136,15 @@
     adopt(page.objects);
     if (page.has_more && !page.objects.empty() && page.objects.back().name != after) {
         read(page.objects.back().name);
+    } else if (std::exchange(m_write_missing, false)) {
+        write_missing();
     }
 }
 
 void serving_quarantine::adopt(const std::vector<directory_object>& objects) {
     std::vector<quarantined_parts> recorded;
     for (const directory_object& object : objects) {
+        m_recorded.insert(object.name);
         auto decoded = decode_quarantine_record(object.content, m_clock());
         if (!decoded) {
             m_log->warning("quarantine_record_refused",
@@ -145,6 +166,16 @@
     }
 }
 
+void serving_quarantine::write_missing() {
+    m_traffic->query_quarantines([self = shared_from_this()](const std::vector<quarantined_parts>& known) {
+        for (const quarantined_parts& each : known) {
+            if (!self->m_stopped && !self->m_recorded.contains(record_name(each))) {
+                self->record(each);
+            }
+        }
+    });
+}
+
 void serving_quarantine::record(const quarantined_parts& quarantined) {
     if (!m_record) {
         retry([raw = this, quarantined] { raw->record(quarantined); });
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -325,6 +325,12 @@
     });
 }
 
+void serving_traffic::query_quarantines(std::function<void(std::vector<quarantined_parts>)> receiver) {
+    asio::post(m_state->context, [s = m_state.get(), receiver = std::move(receiver)] {
+        s->host->post_control([receiver, known = s->request_forwarder->quarantined()] { receiver(known); });
+    });
+}
+
 retry_budget::config retry_share(const serve_settings& settings, std::size_t entry_hosts) {
     const double share = settings.retry_allowance / static_cast<double>(entry_hosts);
     retry_budget::config config;
--- a/tests/unit-serving-quarantine.cpp
+++ b/tests/unit-serving-quarantine.cpp
@@ -191,4 +191,16 @@
     EXPECT_NEAR(to_seconds(recorded()), 600, 15);
 }
 
+// Guards against quarantines that hosts which start no longer know, because the store lost their records.
+TEST_F(serving_quarantine_fixture, records_that_a_restored_store_lacks_are_written_again) {
+    open();
+    m_traffic->adopt({parts(seconds(600))});
+    on_control([this] { m_service->on_restored(); });
+    const time_point give_up = std::chrono::steady_clock::now() + seconds(10);
+    while (recorded() == duration::zero() && std::chrono::steady_clock::now() < give_up) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_NEAR(to_seconds(recorded()), 600, 15);
+}
+
 } // namespace parsleypitch
--- a/tests/unit-serving-restore.cpp
+++ b/tests/unit-serving-restore.cpp
@@ -124,6 +124,14 @@
     std::unique_ptr<kernel> m_host;
 };
 
+// Guards against entry hosts that hosts which start no longer find.
+TEST_F(serving_restore_fixture, host_entry_that_a_restored_store_lacks_is_written_again) {
+    ASSERT_TRUE(eventually([this] { return m_store.count("hosts") == 1; }));
+    m_store.restore();
+    EXPECT_EQ(m_store.count("hosts"), 0U);
+    EXPECT_TRUE(eventually([this] { return m_store.count("hosts") == 1; }));
+}
+
 // Guards against a lease that is never written again.
 TEST_F(serving_restore_fixture, lease_that_a_restored_store_lacks_is_acquired_again) {
     ASSERT_TRUE(eventually([this] { return m_store.count("authority") == 1; }));
