Let a host that starts wait for the configuration of the other hosts

A host that starts while a restored store shows an older copy read an older configuration than the others have in force, acted on it, and refused routes that had been added as unknown (404, which callers do not repeat).

Change: reports tell a host that has started the version in force. A route that is unknown while another host has a newer configuration is refused with 503 in place of 404. Weighed: fetching the document from a peer (it does not fit a datagram, and a stale peer could hand out an older one).

About 15 bytes more in reports for 2 s after a host has started, and in heartbeats (by counting the encoding).

--- a/include/parsleypitch/forwarding/peer_work.hpp
+++ b/include/parsleypitch/forwarding/peer_work.hpp
@@ -8,6 +8,7 @@
 #include <parsleypitch/routing/prefix_index.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace parsleypitch {
@@ -49,21 +50,29 @@
     std::vector<server_key> refusing;
     quarantine_report quarantine;
     std::vector<reported_condition> conditions;
+    /// @brief Configuration in force at the sender; 0 if the report does not tell.
+    config_version configuration;
 
     [[nodiscard]] bool empty() const noexcept {
         return started.empty() && placements.empty() && refusing.empty() && quarantine.empty() &&
-               conditions.empty();
+               conditions.empty() && configuration == config_version();
     }
 };
 
 /// @brief Time after its last report for which another entry host is taken to be up.
 inline constexpr milliseconds peer_validity{12'000};
+/// @brief Time for which a host that has started is told what it cannot know yet, since datagrams get lost.
+inline constexpr milliseconds new_host_period{2000};
 
 /// @brief The entry hosts that sent reports recently. Repeated and overtaken reports are recognised.
 class peer_table {
   public:
     /// @return false if the report is not newer than the last one from its sender
     [[nodiscard]] bool note(const work_report& report, time_point now);
+    /// @brief Whether a host was first heard of, or heard of after a restart, within `new_host_period`.
+    [[nodiscard]] bool has_new_host(time_point now) const {
+        return m_new_host_at && now - *m_new_host_at < new_host_period;
+    }
     /// @brief Removes hosts whose last report is older than `peer_validity`.
     void expire(time_point now);
     [[nodiscard]] std::size_t size() const noexcept { return m_peers.size(); }
@@ -76,6 +85,7 @@
     };
 
     std::map<endpoint, peer> m_peers;
+    std::optional<time_point> m_new_host_at;
 };
 
 } // namespace parsleypitch
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -28,7 +28,17 @@
                m_shared->policy.retry_after_hint);
         return;
     }
+    if (m_shared->lag.must_wait(now())) {
+        refuse(fail(errc::no_configuration, "other entry hosts have a newer configuration in force"),
+               m_shared->policy.retry_after_hint);
+        return;
+    }
     m_route = m_routes->match(m_call.host, m_call.path);
+    if (m_route == nullptr && m_shared->lag.behind()) {
+        refuse(fail(errc::no_configuration, "the route may be in the newer configuration of other hosts"),
+               m_shared->policy.retry_after_hint);
+        return;
+    }
     if (m_route == nullptr) {
         refuse(fail(errc::no_route, m_call.host + m_call.path), duration::zero());
         return;
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -72,6 +72,7 @@
     m_state->hooks = std::move(hooks);
     m_state->policy = policy;
     m_state->zone = std::move(zone);
+    m_state->lag = configuration_lag(m_state->hooks.now());
     m_state->log = std::move(log);
     m_state->metrics = std::move(metrics);
     m_state->crashes = std::make_shared<crash_detector>(m_state);
@@ -88,6 +89,7 @@
         return;
     }
     m_state->routes = std::move(routes);
+    m_state->lag.note_own(m_state->routes->version());
     m_cache_poller->update_engines();
 }
 
@@ -144,7 +146,8 @@
 }
 
 bool forwarder::ready() const {
-    return m_state->routes && m_state->pool.snapshot() != nullptr;
+    return m_state->routes && m_state->pool.snapshot() != nullptr &&
+           !m_state->lag.must_wait(m_state->hooks.now());
 }
 
 std::size_t forwarder::open_requests() const {
@@ -162,9 +165,22 @@
 work_report forwarder::take_report() {
     work_report report = m_state->pool.take_report(m_state->hooks.now());
     report.quarantine = m_state->quarantine.report(m_state->hooks.now());
+    if (m_state->pool.has_new_peer(m_state->hooks.now())) {
+        report.configuration = m_state->configuration_in_force();
+    }
     return report;
 }
 
+void forwarder::state::note_peer_configuration(const work_report& report) {
+    const bool waited = lag.must_wait(hooks.now());
+    lag.note_peer(report.configuration);
+    if (!waited && lag.must_wait(hooks.now())) {
+        log->warning("configuration_behind", {{"version", configuration_in_force()},
+                                              {"by", report.from},
+                                              {"newer_version", report.configuration}});
+    }
+}
+
 void forwarder::note_peer_report(const work_report& report) {
     for (const backend_server_id& server : m_state->pool.note_peer_report(report, m_state->hooks.now())) {
         const server_conditions& known = m_state->pool.find(server)->conditions;
@@ -178,6 +194,10 @@
     if (!report.quarantine.empty()) {
         m_state->note_quarantine_report(report.quarantine);
     }
+    m_state->note_peer_configuration(report);
+    if (m_state->pool.has_new_peer(m_state->hooks.now())) {
+        m_state->hooks.report_pending(); // the new host is told the configuration in force
+    }
 }
 
 void forwarder::expire_peers() {
--- a/src/forwarding/forwarder_quarantine.cpp
+++ b/src/forwarding/forwarder_quarantine.cpp
@@ -62,6 +62,7 @@
 work_report forwarder::heartbeat() {
     work_report report;
     report.quarantine.quarantined = m_state->quarantine.next_reported(m_state->hooks.now());
+    report.configuration = m_state->configuration_in_force();
     return report;
 }
 
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <parsleypitch/forwarding/configuration_lag.hpp>
 #include <parsleypitch/forwarding/engine_speed.hpp>
 #include <parsleypitch/forwarding/forwarder.hpp>
 #include <parsleypitch/forwarding/prompt_quarantine.hpp>
@@ -29,6 +30,7 @@
     std::shared_ptr<event_log> log;
     std::shared_ptr<metrics_registry> metrics;
     std::shared_ptr<const route_table> routes;
+    configuration_lag lag{time_point()};
     backend_pool pool;
     std::map<backend_service_id, retry_budget> budgets;
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
@@ -67,6 +69,12 @@
     void note_conditions(const backend_server_id& server, const http::response_head& head);
     /// Weighs the end of an engine that this host has observed.
     void note_crash(const crash_evidence& evidence);
+    /// Compares the configuration in force at another host with the own one.
+    void note_peer_configuration(const work_report& report);
+    /// Version of the configuration in force; 0 if there is none.
+    [[nodiscard]] config_version configuration_in_force() const {
+        return routes ? routes->version() : config_version();
+    }
     void note_quarantine_report(const quarantine_report& report);
     /// Logs the newest quarantine and ends the requests that it concerns.
     void on_quarantine_begun(std::string_view source);
--- a/src/forwarding/peer_work.cpp
+++ b/src/forwarding/peer_work.cpp
@@ -16,6 +16,9 @@
     if (!added && std::tie(report.born, report.number) <= std::tie(sender.born, sender.number)) {
         return false;
     }
+    if (added || sender.born != report.born) {
+        m_new_host_at = now;
+    }
     sender = {report.born, report.number, now};
     return true;
 }
--- a/src/serving/work_report_codec.cpp
+++ b/src/serving/work_report_codec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t report_header_size = 30; // two 64-bit integers and the CBOR headers of the arrays
+constexpr std::size_t report_header_size = 39; // three 64-bit integers and the CBOR headers of the arrays
 constexpr std::size_t started_work_size = 10;  // two 32-bit integers: server key and milliseconds
 constexpr std::size_t server_size = 5;         // a 32-bit integer
 constexpr std::size_t placement_size = 14;     // a 32-bit and a 64-bit integer: server key and prefix
@@ -21,6 +21,7 @@
 /// Positions of the fields of a report, and those of its quarantine part.
 constexpr std::size_t quarantine_field = 5;
 constexpr std::size_t conditions_field = 6;
+constexpr std::size_t configuration_field = 7;
 constexpr std::size_t crashes_field = 0;
 constexpr std::size_t sound_field = 1;
 constexpr std::size_t quarantined_field = 2;
@@ -198,11 +199,15 @@
     }
     nlohmann::json message = {report.born.value(), report.number.value(), std::move(started),
                               std::move(placements), std::move(refusing)};
-    // Entry hosts that do not know the last two fields ignore reports that have them.
-    if (!report.quarantine.empty() || !report.conditions.empty()) {
+    // Entry hosts that do not know the last three fields ignore reports that have them.
+    const bool has_configuration = report.configuration != config_version();
+    if (!report.quarantine.empty() || !report.conditions.empty() || has_configuration) {
         message.push_back(std::move(quarantine));
         message.push_back(std::move(conditions));
     }
+    if (has_configuration) {
+        message.push_back(report.configuration.value());
+    }
     std::string bytes;
     nlohmann::json::to_cbor(message, bytes);
     return bytes;
@@ -213,16 +218,19 @@
     const auto are_pairs = [](const nlohmann::json& value) {
         return are_unsigned(value) && value.size() % 2 == 0;
     };
-    const bool extended = message.is_array() && message.size() == conditions_field + 1;
+    const bool has_configuration = message.is_array() && message.size() == configuration_field + 1;
+    const bool extended = message.is_array() && (message.size() == conditions_field + 1 || has_configuration);
     const bool well_formed = message.is_array() && (message.size() == quarantine_field || extended) &&
                              is_unsigned(message[0]) && is_unsigned(message[1]) && are_pairs(message[2]) &&
                              are_pairs(message[3]) && are_unsigned(message[4]) &&
                              (!extended || (is_quarantine_report(message[quarantine_field]) &&
-                                            are_conditions(message[conditions_field])));
+                                            are_conditions(message[conditions_field]))) &&
+                             (!has_configuration || is_unsigned(message[configuration_field]));
     if (!well_formed) {
         return fail(errc::malformed_document,
                     "work report: expected two unsigned integers, two arrays of pairs "
-                    "of them and an array of them, then nothing or a quarantine and conditions");
+                    "of them and an array of them, then nothing or a quarantine, conditions and "
+                    "a configuration");
     }
     work_report report;
     report.from = from;
@@ -245,6 +253,9 @@
         report.quarantine = decode_quarantine(message[quarantine_field]);
         report.conditions = decode_conditions(message[conditions_field]);
     }
+    if (has_configuration) {
+        report.configuration = config_version(message[configuration_field].get<std::uint64_t>());
+    }
     return report;
 }
 
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -59,8 +59,11 @@
     report.quarantine.quarantined = {{{prompt_part_key(1), prompt_part_key(2)}, seconds(7200)}};
     report.conditions = {{{server_key(7), incarnation(8)}, true, request_rate{1.5}},
                          {{server_key(9), incarnation(8)}, false, std::nullopt}};
+    report.configuration = config_version(12);
     const auto decoded = decode_work_report(encode_work_report(report), endpoint("10.0.0.1:7381"));
     ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded.value().configuration, config_version(12));
+    ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded.value().from, endpoint("10.0.0.1:7381"));
     EXPECT_EQ(decoded.value().born, report.born);
     EXPECT_EQ(decoded.value().number, report.number);
