Keep requests away from engines under which engines ended

Cause: evidence about ends of engines was kept for shared prompt parts only. A request with sound parts, and a plain call, left none.

Change: the identity of a request (method, host, path, credentials, prompt parts, body, without ids and deadlines) is a second kind of cause, weighed in the same place, now crash_quarantine. After three ends of engines a request is refused by all hosts, each by itself, before parts with the same evidence, which keep theirs. An answer, or events for a second, clear it; one in the last two seconds keeps crashes from counting, so that a call which many send is not condemned by engines that end for other reasons. A request that was lost twice is not repeated once an engine has ended under it. Reports begin with the newest crash, since a datagram may have no room for all. request_quarantined, the identity on the last line of a request and unproven_requests tell of it.

The test fixture sends each prompt as another request, which it did not need before.

--- a/include/parsleypitch/forwarding/backend_protocol.hpp
+++ b/include/parsleypitch/forwarding/backend_protocol.hpp
@@ -37,8 +37,8 @@
     return std::span(work.parts).first(work.parts.empty() ? 0 : work.parts.size() - 1);
 }
 
-/// @brief Keys of the shared parts.
-[[nodiscard]] std::vector<prompt_part_key> shared_part_keys(const generation_work& work);
+/// @brief Causes for the shared parts.
+[[nodiscard]] std::vector<crash_cause> shared_part_keys(const generation_work& work);
 /// @brief Ids of the shared parts, separated by commas, for the log.
 [[nodiscard]] std::string shared_part_names(const generation_work& work);
 
@@ -57,6 +57,10 @@
     http::request message;
 };
 
+/// @brief Identifies a request by what stays the same when its caller sends it again: method, host, path with
+/// the query, credentials, prompt parts and body. Ids of attempts, deadlines and resume positions differ.
+[[nodiscard]] crash_cause identify(const inbound_call& call);
+
 /// @brief The prefill engine and the handle from which a decode engine fetches the KV cache of a prompt.
 struct kv_source {
     endpoint engine;
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -38,7 +38,7 @@
     std::function<void()> report_pending = [] {};
     /// @brief Called with a quarantine that begins by evidence of this host, so that it is recorded for hosts
     /// that start later.
-    std::function<void(const quarantined_parts&)> record_quarantine = [](const quarantined_parts&) {};
+    std::function<void(const quarantined_causes&)> record_quarantine = [](const quarantined_causes&) {};
 };
 
 /// @brief Prompt tokens that need prefill and generated output tokens.
@@ -128,9 +128,9 @@
     /// @brief Returns the quarantines in force, for hosts that get no reports of work.
     [[nodiscard]] work_report heartbeat();
     /// @brief Returns all quarantines in force.
-    [[nodiscard]] std::vector<quarantined_parts> quarantined() const;
+    [[nodiscard]] std::vector<quarantined_causes> quarantined() const;
     /// @brief Applies quarantines that other hosts have recorded.
-    void adopt(const std::vector<quarantined_parts>& recorded);
+    void adopt(const std::vector<quarantined_causes>& recorded);
     /// @brief Forgets entry hosts whose last report has expired.
     void expire_peers();
     /// @brief Updates the gauges of the forwarder for the metrics page.
--- a/include/parsleypitch/serving/serving_quarantine.hpp
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -17,16 +17,16 @@
 /// @brief Clock of the records, which several hosts read.
 using wall_clock_hook = std::function<std::chrono::system_clock::time_point()>;
 
-/// @brief Encodes a record: the keys of the parts and the Unix time in milliseconds at which the quarantine
+/// @brief Encodes a record: the causes and the Unix time in milliseconds at which the quarantine
 /// ends.
-[[nodiscard]] std::string encode_quarantine_record(const quarantined_parts& quarantined,
+[[nodiscard]] std::string encode_quarantine_record(const quarantined_causes& quarantined,
                                                    std::chrono::system_clock::time_point now);
 /// @brief Decodes a record.
 /// @return `malformed_document` if it is not one. The remaining time is zero if the quarantine has ended.
-[[nodiscard]] result<quarantined_parts> decode_quarantine_record(const std::string& content,
-                                                                 std::chrono::system_clock::time_point now);
+[[nodiscard]] result<quarantined_causes> decode_quarantine_record(const std::string& content,
+                                                                  std::chrono::system_clock::time_point now);
 
-/// @brief Keeps the quarantined prompt parts in the store, for hosts that start when no other host is up.
+/// @brief Keeps the quarantines in the store, for hosts that start when no other host is up.
 ///
 /// The records are read at the start; running hosts tell each other. A record whose quarantine has ended
 /// is removed by the host that reads it. After a restore of the store the records are read again, and the
@@ -45,7 +45,7 @@
     void open(object_source records, std::function<object_handle(const object_key&)> record);
     /// @brief Writes a record, over one that ends earlier, until the store has it. Called on the control
     /// thread.
-    void record(const quarantined_parts& quarantined);
+    void record(const quarantined_causes& quarantined);
     /// @brief Reads the records again and writes missing ones. Called on the control thread.
     void on_restored();
 
@@ -56,10 +56,10 @@
     void adopt(const std::vector<directory_object>& objects);
     /// Writes the quarantines in force on this host that the records read last lack.
     void write_missing();
-    void write(const quarantined_parts& quarantined, const store_revision& expected);
-    void on_written(const quarantined_parts& quarantined, const result<store_revision>& written);
-    /// Replaces the record of an earlier quarantine of the same parts.
-    void replace_earlier(const quarantined_parts& quarantined);
+    void write(const quarantined_causes& quarantined, const store_revision& expected);
+    void on_written(const quarantined_causes& quarantined, const result<store_revision>& written);
+    /// Replaces the record of an earlier quarantine of the same causes.
+    void replace_earlier(const quarantined_causes& quarantined);
     void retry(std::function<void()> step);
 
     wall_clock_hook m_clock;
--- a/include/parsleypitch/serving/serving_traffic.hpp
+++ b/include/parsleypitch/serving/serving_traffic.hpp
@@ -33,18 +33,18 @@
 
     /// @brief Sets the hook that receives, on the control thread, the quarantines that this host begins. Must
     /// be called before the process serves requests.
-    void on_quarantine(std::function<void(const quarantined_parts&)> hook);
+    void on_quarantine(std::function<void(const quarantined_causes&)> hook);
 
     // The following methods are called on the control thread and take effect on the traffic thread.
     void adopt(std::shared_ptr<const route_table> routes);
     void adopt(std::shared_ptr<const fleet_snapshot> fleet);
     void adopt(const serve_settings& settings);
-    void adopt(std::vector<quarantined_parts> recorded);
+    void adopt(std::vector<quarantined_causes> recorded);
     void add_peers(std::vector<endpoint> listed);
     /// @brief Passes the report addresses of the active peers to `receiver` on the control thread.
     void query_peers(std::function<void(std::vector<endpoint>)> receiver);
     /// @brief Passes the quarantines in force to `receiver` on the control thread.
-    void query_quarantines(std::function<void(std::vector<quarantined_parts>)> receiver);
+    void query_quarantines(std::function<void(std::vector<quarantined_causes>)> receiver);
 
   private:
     struct state;
--- a/src/forwarding/crash_detector.cpp
+++ b/src/forwarding/crash_detector.cpp
@@ -2,6 +2,8 @@
 
 #include "forwarding/response_status.hpp"
 
+#include <algorithm>
+
 namespace parsleypitch {
 
 namespace detail {
@@ -12,22 +14,28 @@
 constexpr milliseconds crash_check_period{400};
 constexpr milliseconds crash_check_timeout{500};
 constexpr unsigned max_crash_checks = 6;
+/// A datagram has room for the evidence of one crash.
+constexpr std::size_t max_causes_per_crash = 128;
 
 } // namespace detail
 
-void crash_detector::on_request_lost(const backend_server_id& engine, const generation_work& work) {
+void crash_detector::on_request_lost(const backend_server_id& engine, std::span<const crash_cause> causes) {
     const auto shared = m_shared.lock();
     const backend_state* server = shared ? shared->pool.find(engine) : nullptr;
     if (server == nullptr || server->leaving()) { // a planned end
         return;
     }
-    const std::vector<prompt_part_key> parts = shared->quarantine.unproven(shared_part_keys(work));
-    if (parts.empty()) {
+    const std::vector<crash_cause> unproven = shared->quarantine.unproven(causes, shared->hooks.now());
+    if (unproven.empty()) {
         return;
     }
     const auto [found, added] = m_suspected.try_emplace(engine);
     suspected_crash& suspected = found->second;
-    suspected.parts.insert(parts.begin(), parts.end());
+    for (const crash_cause cause : unproven) {
+        if (suspected.causes.size() < detail::max_causes_per_crash) {
+            suspected.causes.insert(cause);
+        }
+    }
     ++suspected.lost_requests;
     if (added) {
         suspected.born = server->entry.born;
@@ -130,13 +138,16 @@
     }
     const suspected_crash ended = std::move(found->second);
     m_suspected.erase(found);
+    const auto parts = static_cast<std::size_t>(std::count_if(
+        ended.causes.begin(), ended.causes.end(), [](crash_cause each) { return !is_request(each); }));
     shared->log->warning("server_ended", {{"server", engine},
                                           {"born", ended.born},
                                           {"sign", sign},
                                           {"lost_requests", ended.lost_requests},
-                                          {"unproven_parts", std::uint64_t{ended.parts.size()}}});
+                                          {"unproven_parts", std::uint64_t{parts}},
+                                          {"unproven_requests", std::uint64_t{ended.causes.size() - parts}}});
     shared->count("parsleypitch_server_crashes_total", {});
-    shared->note_crash({{key_of(engine), ended.born}, {ended.parts.begin(), ended.parts.end()}});
+    shared->note_crash({{key_of(engine), ended.born}, {ended.causes.begin(), ended.causes.end()}});
 }
 
 } // namespace parsleypitch
--- a/src/forwarding/crash_detector.hpp
+++ b/src/forwarding/crash_detector.hpp
@@ -19,15 +19,16 @@
   public:
     explicit crash_detector(std::weak_ptr<forwarder::state> shared) : m_shared(std::move(shared)) {}
 
-    /// @brief Notes that an engine lost a request of which no event had arrived.
-    void on_request_lost(const backend_server_id& engine, const generation_work& work);
+    /// @brief Notes that a server lost a request.
+    /// @param causes what may have ended the server
+    void on_request_lost(const backend_server_id& engine, std::span<const crash_cause> causes);
 
   private:
     /// One start of an engine that lost requests and is being checked.
     struct suspected_crash {
         incarnation born;
         endpoint address;
-        std::set<prompt_part_key> parts;
+        std::set<crash_cause> causes;
         unsigned lost_requests = 0;
         unsigned checks = 0;
     };
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -61,6 +61,9 @@
     if (m_call.work) {
         m_shared_parts = shared_part_keys(*m_call.work);
     }
+    m_identity = identify(m_call);
+    m_causes = m_shared_parts;
+    m_causes.push_back(m_identity);
     m_exchange->on_disconnect([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_disconnected();
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -42,6 +42,8 @@
         double expected_ms = 0;
         bool sent = false;
         bool response_started = false;
+        /// When the first event of this attempt arrived.
+        std::optional<time_point> first_event_at;
         http::response_head head;
         response_metadata metadata;
         std::string body;
@@ -81,7 +83,9 @@
     void end_attempt_early(std::optional<attempt_result> result);
     void after_failure(const error& why, run_state attempt_ran);
     [[nodiscard]] bool decide_retry(const error& why, run_state attempt_ran);
-    /// How long requests with the parts of this prompt are refused; zero if they are not.
+    /// Notes that the server of the current attempt lost this request.
+    void note_lost();
+    /// How long this request is refused because engines ended; zero if it is not.
     [[nodiscard]] duration quarantine_remaining() const;
     void send_response(http::response answer);
     void refuse(const error& why, duration retry_after_hint);
@@ -103,8 +107,11 @@
     const route* m_route = nullptr;
     const backend_service* m_service = nullptr;
     inbound_call m_call;
-    /// Keys of the shared parts of the prompt.
-    std::vector<prompt_part_key> m_shared_parts;
+    /// Hash of what stays the same when the caller sends the request again.
+    crash_cause m_identity;
+    std::vector<crash_cause> m_shared_parts;
+    /// The shared parts of the prompt and the identity.
+    std::vector<crash_cause> m_causes;
     time_point m_deadline;
     timer_cancel m_deadline_timer;
     timer_cancel m_attempt_timer;
@@ -119,6 +126,8 @@
     bool m_prefill_failed = false;
     /// An engine lost this request before its first event.
     bool m_lost_before_event = false;
+    /// Servers that lost this request.
+    unsigned m_losses = 0;
     /// Set while the request waits for an engine with room.
     std::optional<held_request_id> m_held;
     run_state m_ran = run_state::not_run;
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -8,6 +8,10 @@
 
 namespace parsleypitch {
 
+/// Servers that may lose a request before it is not sent again. A request that is lost twice is more likely
+/// to be the cause than to have been beside it.
+constexpr unsigned max_losses = 2;
+
 void forwarded_request::finish_attempt(std::optional<attempt_result> result) {
     if (m_attempt_timer) {
         m_attempt_timer();
@@ -63,11 +67,16 @@
 }
 
 bool forwarded_request::decide_retry(const error& why, run_state attempt_ran) {
-    // A repeat could end a second engine.
-    if (m_lost_before_event && m_shared->quarantine.is_suspected(m_shared_parts)) {
-        m_shared->count("parsleypitch_retry_decisions_total", {{"reason", "suspected_prompt"}});
+    // A repeat could end another engine.
+    const bool suspected_prompt = m_lost_before_event && m_shared->quarantine.is_suspected(m_shared_parts);
+    const bool suspected_request =
+        (m_losses >= max_losses && m_shared->quarantine.is_suspected({&m_identity, 1})) ||
+        quarantine_remaining() > duration::zero();
+    if (suspected_prompt || suspected_request) {
+        const std::string decision = suspected_prompt ? "suspected_prompt" : "suspected_request";
+        m_shared->count("parsleypitch_retry_decisions_total", {{"reason", decision}});
         m_shared->log->info("retry_decision", {{"request", m_call.id},
-                                               {"decision", "suspected_prompt"},
+                                               {"decision", decision},
                                                {"failure", reason_name(why.code)},
                                                {"ran", to_string(attempt_ran)},
                                                {"sends", m_attempts}});
@@ -93,7 +102,7 @@
 }
 
 duration forwarded_request::quarantine_remaining() const {
-    return m_shared->quarantine.remaining(m_shared_parts, now());
+    return m_shared->quarantine.remaining(m_causes, now());
 }
 
 void forwarded_request::end_if_quarantined() {
@@ -102,7 +111,8 @@
         return;
     }
     end_attempt_early(std::nullopt);
-    refuse(fail(errc::prompt_quarantined, "engines ended under parts of this prompt"), remaining);
+    refuse(fail(errc::prompt_quarantined, "engines ended under this request or parts of its prompt"),
+           remaining);
 }
 
 void forwarded_request::send_response(http::response answer) {
@@ -198,6 +208,7 @@
     const std::string route_name = m_route == nullptr ? "" : m_route->id.str();
     const duration target = m_route == nullptr ? duration::zero() : m_route->target_latency;
     m_shared->log->info("request", {{"request", m_call.id},
+                                    {"identity", std::to_string(m_identity.value())},
                                     {"route", route_name},
                                     {"kind", m_route == nullptr ? "" : to_string(m_route->kind)},
                                     {"urgency", m_route == nullptr ? 0 : m_route->urgency},
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -11,6 +11,9 @@
 
 namespace detail {
 
+/// An engine that writes events of a request for this time does not end by it.
+constexpr milliseconds survival_time{1000};
+
 std::string content_type(const http::response_head& head) {
     const std::string* type = head.headers.find("content-type");
     return type == nullptr ? "" : *type;
@@ -94,6 +97,12 @@
 }
 
 void forwarded_request::forward_events(const std::string& events) {
+    if (!m_attempt->first_event_at) {
+        m_attempt->first_event_at = now();
+    } else if (now() - *m_attempt->first_event_at >= detail::survival_time) {
+        m_shared->quarantine.note_answered(m_identity, now());
+        m_attempt->first_event_at = now();
+    }
     if (!m_first_event_after) {
         m_first_event_after = elapsed();
         m_shared->quarantine.note_sound(m_shared_parts);
@@ -140,6 +149,10 @@
 
 void forwarded_request::on_end() {
     const unsigned status = m_attempt->head.status;
+    if (!m_attempt->metadata.not_run && m_attempt->stage == attempt_stage::whole &&
+        !m_events.has_partial_event()) {
+        m_shared->quarantine.note_answered(m_identity, now());
+    }
     if (m_attempt->metadata.not_run) {
         const bool misdirected = status == detail::status_misdirected;
         finish_attempt(misdirected ? attempt_result::misdirected : attempt_result::refused);
@@ -230,14 +243,19 @@
         }
         return;
     }
-    if (m_call.work && !m_first_event_after) {
-        m_lost_before_event = true;
-        m_shared->crashes->on_request_lost(m_attempt->server.id, *m_call.work);
-    }
+    note_lost();
     finish_attempt(attempt_result::broken);
     after_failure(why, is_prefill ? run_state::not_run : run_state::outcome_unknown);
 }
 
+void forwarded_request::note_lost() {
+    ++m_losses;
+    m_lost_before_event = m_lost_before_event || (m_call.work && !m_first_event_after);
+    // A request that has delivered an event has shown that its prompt is sound.
+    const std::span<const crash_cause> identity_only(&m_identity, 1);
+    m_shared->crashes->on_request_lost(m_attempt->server.id, m_first_event_after ? identity_only : m_causes);
+}
+
 void forwarded_request::on_attempt_timeout() {
     if (m_finished || !m_attempt) {
         return;
--- a/src/forwarding/forwarder_quarantine.cpp
+++ b/src/forwarding/forwarder_quarantine.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/forwarded_request.hpp"
 
-// Quarantine of prompt parts: evidence, reports and the requests concerned.
+#include <algorithm>
+
+// Quarantine of requests and prompt parts: evidence, reports and the requests concerned.
 
 namespace parsleypitch {
 
@@ -9,10 +11,10 @@
 /// Pause between reports that repeat evidence and quarantines.
 constexpr milliseconds quarantine_report_period{500};
 
-std::string part_names(const std::set<prompt_part_key>& parts) {
+std::string cause_names(const std::set<crash_cause>& causes) {
     std::string names;
-    for (const prompt_part_key part : parts) {
-        names.append(names.empty() ? "" : ",").append(std::to_string(part.value()));
+    for (const crash_cause cause : causes) {
+        names.append(names.empty() ? "" : ",").append(std::to_string(cause.value()));
     }
     return names;
 }
@@ -20,26 +22,32 @@
 } // namespace detail
 
 void forwarder::state::note_crash(const crash_evidence& evidence) {
-    if (quarantine.note_crash(evidence, hooks.now())) {
-        hooks.record_quarantine(quarantine.quarantined(hooks.now()).back());
-        on_quarantine_begun("own evidence");
+    const auto begun = quarantine.note_crash(evidence, hooks.now());
+    for (const quarantined_causes& each : begun) {
+        hooks.record_quarantine(each);
     }
+    on_quarantines_begun(begun, "own evidence");
     report_quarantine();
 }
 
 void forwarder::state::note_quarantine_report(const quarantine_report& report) {
-    if (quarantine.note_report(report, hooks.now())) {
-        on_quarantine_begun("report of a host");
-    }
+    on_quarantines_begun(quarantine.note_report(report, hooks.now()), "report of a host");
     report_quarantine();
 }
 
-void forwarder::state::on_quarantine_begun(std::string_view source) {
-    const quarantined_parts newest = quarantine.quarantined(hooks.now()).back();
-    log->warning("prompt_parts_quarantined", {{"parts", detail::part_names(newest.parts)},
-                                              {"source", source},
-                                              {"remaining_ms", newest.remaining}});
-    count("parsleypitch_quarantines_total", {});
+void forwarder::state::on_quarantines_begun(const std::vector<quarantined_causes>& begun,
+                                            std::string_view source) {
+    if (begun.empty()) {
+        return;
+    }
+    for (const quarantined_causes& each : begun) {
+        const bool request = std::any_of(each.causes.begin(), each.causes.end(), is_request);
+        log->warning(request ? "request_quarantined" : "prompt_parts_quarantined",
+                     {{request ? "identity" : "parts", detail::cause_names(each.causes)},
+                      {"source", source},
+                      {"remaining_ms", each.remaining}});
+        count("parsleypitch_quarantines_total", {});
+    }
     const auto open = requests;
     for (const auto& request : open) {
         request->end_if_quarantined();
@@ -66,15 +74,13 @@
     return report;
 }
 
-std::vector<quarantined_parts> forwarder::quarantined() const {
+std::vector<quarantined_causes> forwarder::quarantined() const {
     return m_state->quarantine.quarantined(m_state->hooks.now());
 }
 
-void forwarder::adopt(const std::vector<quarantined_parts>& recorded) {
-    for (const quarantined_parts& each : recorded) {
-        if (m_state->quarantine.adopt(each, m_state->hooks.now())) {
-            m_state->on_quarantine_begun("store");
-        }
+void forwarder::adopt(const std::vector<quarantined_causes>& recorded) {
+    for (const quarantined_causes& each : recorded) {
+        m_state->on_quarantines_begun(m_state->quarantine.adopt(each, m_state->hooks.now()), "store");
     }
 }
 
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <parsleypitch/forwarding/configuration_lag.hpp>
+#include <parsleypitch/forwarding/crash_quarantine.hpp>
 #include <parsleypitch/forwarding/engine_speed.hpp>
 #include <parsleypitch/forwarding/forwarder.hpp>
-#include <parsleypitch/forwarding/prompt_quarantine.hpp>
 
 #include <unordered_set>
 
@@ -37,7 +37,7 @@
     std::map<backend_service_id, token_totals> demand;
     std::map<backend_service_id, service_knowledge> services;
     std::shared_ptr<crash_detector> crashes;
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     timer_cancel quarantine_report_timer;
     std::size_t entry_hosts = assumed_entry_hosts;
     bool refusing_requests = false;
@@ -76,8 +76,8 @@
         return routes ? routes->version() : config_version();
     }
     void note_quarantine_report(const quarantine_report& report);
-    /// Logs the newest quarantine and ends the requests that it concerns.
-    void on_quarantine_begun(std::string_view source);
+    /// Logs quarantines that begin and ends the requests that they concern.
+    void on_quarantines_begun(const std::vector<quarantined_causes>& begun, std::string_view source);
     /// Reports to the other hosts while there is something to repeat.
     void report_quarantine();
 
--- a/src/forwarding/prompt_parts.cpp
+++ b/src/forwarding/prompt_parts.cpp
@@ -11,12 +11,12 @@
     return names;
 }
 
-std::vector<prompt_part_key> shared_part_keys(const generation_work& work) {
+std::vector<crash_cause> shared_part_keys(const generation_work& work) {
     const std::uint64_t model = hash_bytes(work.model.str());
-    std::vector<prompt_part_key> keys;
+    std::vector<crash_cause> keys;
     keys.reserve(shared_parts(work).size());
     for (const prompt_part& part : shared_parts(work)) {
-        keys.emplace_back(hash_bytes(part.id.str(), model));
+        keys.push_back(part_cause(hash_bytes(part.id.str(), model)));
     }
     return keys;
 }
--- /dev/null
+++ b/src/forwarding/request_identity.cpp
@@ -0,0 +1,20 @@
+#include <parsleypitch/core/hash.hpp>
+#include <parsleypitch/forwarding/backend_protocol.hpp>
+
+namespace parsleypitch {
+
+crash_cause identify(const inbound_call& call) {
+    const std::string* credentials = call.message.headers.find("authorization");
+    std::uint64_t hash = hash_bytes(call.message.method);
+    hash = hash_bytes(call.host, hash);
+    hash = hash_bytes(call.message.target, hash);
+    hash = hash_bytes(credentials == nullptr ? "" : *credentials, hash);
+    if (call.work) {
+        for (const prompt_part& part : call.work->parts) {
+            hash = hash_bytes(part.id.str(), hash);
+        }
+    }
+    return request_cause(hash_bytes(call.message.body, hash));
+}
+
+} // namespace parsleypitch
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -1,5 +1,5 @@
 #include <parsleypitch/core/hash.hpp>
-#include <parsleypitch/forwarding/prompt_quarantine.hpp>
+#include <parsleypitch/forwarding/crash_quarantine.hpp>
 #include <parsleypitch/serving/serving_quarantine.hpp>
 
 #include <nlohmann/json.hpp>
@@ -19,16 +19,16 @@
 constexpr const char* parts_key = "parts";
 constexpr const char* until_key = "until_ms";
 
-/// Hosts that quarantine the same parts write the same object.
-object_key record_name(const quarantined_parts& quarantined) {
+/// Hosts that quarantine the same causes write the same object.
+object_key record_name(const quarantined_causes& quarantined) {
     std::string all;
-    for (const prompt_part_key part : quarantined.parts) {
-        all.append(std::to_string(part.value())).append(",");
+    for (const crash_cause cause : quarantined.causes) {
+        all.append(std::to_string(cause.value())).append(",");
     }
     return object_key("q" + std::to_string(hash_bytes(all)));
 }
 
-std::optional<prompt_part_key> decode_key(const nlohmann::json& from) {
+std::optional<crash_cause> decode_key(const nlohmann::json& from) {
     if (!from.is_string()) {
         return std::nullopt;
     }
@@ -36,16 +36,16 @@
     std::uint64_t value = 0;
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
     const bool whole = parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size();
-    return whole ? std::optional(prompt_part_key(value)) : std::nullopt;
+    return whole ? std::optional(crash_cause(value)) : std::nullopt;
 }
 
 } // namespace
 
-std::string encode_quarantine_record(const quarantined_parts& quarantined,
+std::string encode_quarantine_record(const quarantined_causes& quarantined,
                                      std::chrono::system_clock::time_point now) {
     nlohmann::json parts = nlohmann::json::array();
-    for (const prompt_part_key part : quarantined.parts) {
-        parts.push_back(std::to_string(part.value()));
+    for (const crash_cause cause : quarantined.causes) {
+        parts.push_back(std::to_string(cause.value()));
     }
     const auto until = now.time_since_epoch() + quarantined.remaining;
     return nlohmann::json{{parts_key, std::move(parts)},
@@ -53,8 +53,8 @@
         .dump();
 }
 
-result<quarantined_parts> decode_quarantine_record(const std::string& content,
-                                                   std::chrono::system_clock::time_point now) {
+result<quarantined_causes> decode_quarantine_record(const std::string& content,
+                                                    std::chrono::system_clock::time_point now) {
     const auto parsed = nlohmann::json::parse(content, nullptr, false);
     const bool well_formed = parsed.is_object() && parsed.contains(parts_key) &&
                              parsed[parts_key].is_array() && !parsed[parts_key].empty() &&
@@ -62,16 +62,16 @@
     if (!well_formed) {
         return fail(errc::malformed_document, "quarantine record: expected parts and until_ms");
     }
-    quarantined_parts decoded;
+    quarantined_causes decoded;
     for (const auto& each : parsed[parts_key]) {
         const auto key = decode_key(each);
         if (!key) {
             return fail(errc::malformed_document,
                         "quarantine record: expected keys of parts as decimal texts");
         }
-        decoded.parts.insert(*key);
+        decoded.causes.insert(*key);
     }
-    constexpr auto longest = std::chrono::duration_cast<milliseconds>(prompt_quarantine_config{}.max_period);
+    constexpr auto longest = std::chrono::duration_cast<milliseconds>(crash_quarantine_config{}.max_period);
     const auto now_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
     const milliseconds until(parsed[until_key].get<std::int64_t>());
     decoded.remaining = std::clamp(until, now_ms, now_ms + longest) - now_ms;
@@ -88,7 +88,7 @@
     m_kernel = &host;
     m_log = log;
     m_traffic = traffic;
-    m_traffic->on_quarantine([weak = weak_from_this()](const quarantined_parts& quarantined) {
+    m_traffic->on_quarantine([weak = weak_from_this()](const quarantined_causes& quarantined) {
         if (const auto self = weak.lock()) {
             self->record(quarantined);
         }
@@ -142,7 +142,7 @@
 }
 
 void serving_quarantine::adopt(const std::vector<directory_object>& objects) {
-    std::vector<quarantined_parts> recorded;
+    std::vector<quarantined_causes> recorded;
     for (const directory_object& object : objects) {
         m_recorded.insert(object.name);
         auto decoded = decode_quarantine_record(object.content, m_clock());
@@ -167,8 +167,8 @@
 }
 
 void serving_quarantine::write_missing() {
-    m_traffic->query_quarantines([self = shared_from_this()](const std::vector<quarantined_parts>& known) {
-        for (const quarantined_parts& each : known) {
+    m_traffic->query_quarantines([self = shared_from_this()](const std::vector<quarantined_causes>& known) {
+        for (const quarantined_causes& each : known) {
             if (!self->m_stopped && !self->m_recorded.contains(record_name(each))) {
                 self->record(each);
             }
@@ -176,7 +176,7 @@
     });
 }
 
-void serving_quarantine::record(const quarantined_parts& quarantined) {
+void serving_quarantine::record(const quarantined_causes& quarantined) {
     if (!m_record) {
         retry([raw = this, quarantined] { raw->record(quarantined); });
         return;
@@ -184,7 +184,7 @@
     write(quarantined, store_revision());
 }
 
-void serving_quarantine::write(const quarantined_parts& quarantined, const store_revision& expected) {
+void serving_quarantine::write(const quarantined_causes& quarantined, const store_revision& expected) {
     m_record(record_name(quarantined))
         .write(encode_quarantine_record(quarantined, m_clock()), expected,
                [self = shared_from_this(), quarantined](const result<store_revision>& written) {
@@ -192,7 +192,7 @@
                });
 }
 
-void serving_quarantine::on_written(const quarantined_parts& quarantined,
+void serving_quarantine::on_written(const quarantined_causes& quarantined,
                                     const result<store_revision>& written) {
     const object_key name = record_name(quarantined);
     if (written) {
@@ -206,7 +206,7 @@
     }
 }
 
-void serving_quarantine::replace_earlier(const quarantined_parts& quarantined) {
+void serving_quarantine::replace_earlier(const quarantined_causes& quarantined) {
     const object_key name = record_name(quarantined);
     const auto on_read = [self = shared_from_this(), quarantined,
                           name](const result<object_reading>& reading) {
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -70,7 +70,7 @@
     std::vector<endpoint> peer_list;
     kernel* host = nullptr;
     demand_hook demand_callback;
-    std::function<void(const quarantined_parts&)> quarantine_callback;
+    std::function<void(const quarantined_causes&)> quarantine_callback;
     time_point demand_since = std::chrono::steady_clock::now();
     std::thread thread;
 };
@@ -86,7 +86,7 @@
     };
     hooks.now = steady_clock_hook();
     hooks.random = seeded_random_hook(random_seed());
-    hooks.record_quarantine = [this](const quarantined_parts& begun) {
+    hooks.record_quarantine = [this](const quarantined_causes& begun) {
         if (quarantine_callback) {
             host->post_control([callback = quarantine_callback, begun] { callback(begun); });
         }
@@ -281,12 +281,12 @@
     asio::post(m_state->context, [s = m_state.get(), hook = std::move(hook)] { s->demand_callback = hook; });
 }
 
-void serving_traffic::on_quarantine(std::function<void(const quarantined_parts&)> hook) {
+void serving_traffic::on_quarantine(std::function<void(const quarantined_causes&)> hook) {
     asio::post(m_state->context,
                [s = m_state.get(), hook = std::move(hook)] { s->quarantine_callback = hook; });
 }
 
-void serving_traffic::adopt(std::vector<quarantined_parts> recorded) {
+void serving_traffic::adopt(std::vector<quarantined_causes> recorded) {
     asio::post(m_state->context, [s = m_state.get(), recorded = std::move(recorded)] {
         s->request_forwarder->adopt(recorded);
     });
@@ -325,7 +325,7 @@
     });
 }
 
-void serving_traffic::query_quarantines(std::function<void(std::vector<quarantined_parts>)> receiver) {
+void serving_traffic::query_quarantines(std::function<void(std::vector<quarantined_causes>)> receiver) {
     asio::post(m_state->context, [s = m_state.get(), receiver = std::move(receiver)] {
         s->host->post_control([receiver, known = s->request_forwarder->quarantined()] { receiver(known); });
     });
--- a/src/serving/work_report_codec.cpp
+++ b/src/serving/work_report_codec.cpp
@@ -16,8 +16,8 @@
 
 constexpr std::size_t condition_size = 25; // server key, start, leaving and rate
 constexpr std::size_t key_size = 9;        // a 64-bit integer
-constexpr std::size_t crash_size = 16;     // server key, start and the header of the array of parts
-constexpr std::size_t quarantine_size = 8; // milliseconds and the header of the array of parts
+constexpr std::size_t crash_size = 16;     // server key, start and the header of the array of causes
+constexpr std::size_t quarantine_size = 8; // milliseconds and the header of the array of causes
 /// Positions of the fields of a report, and those of its quarantine part.
 constexpr std::size_t quarantine_field = 5;
 constexpr std::size_t conditions_field = 6;
@@ -42,37 +42,37 @@
 };
 
 template <class Keys>
-nlohmann::json encode_keys(const Keys& parts) {
+nlohmann::json encode_keys(const Keys& causes) {
     nlohmann::json keys = nlohmann::json::array();
-    for (const prompt_part_key part : parts) {
-        keys.push_back(part.value());
+    for (const crash_cause cause : causes) {
+        keys.push_back(cause.value());
     }
     return keys;
 }
 
 nlohmann::json encode_quarantine(const quarantine_report& report, remaining_size& size) {
     nlohmann::json quarantined = nlohmann::json::array();
-    for (const quarantined_parts& each : report.quarantined) {
-        if (!size.take(quarantine_size + key_size * each.parts.size())) {
+    for (const quarantined_causes& each : report.quarantined) {
+        if (!size.take(quarantine_size + key_size * each.causes.size())) {
             break;
         }
         const auto left = std::chrono::duration_cast<milliseconds>(each.remaining).count();
         quarantined.push_back(
-            {static_cast<std::uint64_t>(std::max<std::int64_t>(0, left)), encode_keys(each.parts)});
+            {static_cast<std::uint64_t>(std::max<std::int64_t>(0, left)), encode_keys(each.causes)});
     }
     nlohmann::json crashes = nlohmann::json::array();
     for (const crash_evidence& each : report.crashes) {
-        if (!size.take(crash_size + key_size * each.parts.size())) {
+        if (!size.take(crash_size + key_size * each.causes.size())) {
             break;
         }
-        crashes.push_back({each.crash.server.value(), each.crash.born.value(), encode_keys(each.parts)});
+        crashes.push_back({each.crash.server.value(), each.crash.born.value(), encode_keys(each.causes)});
     }
     nlohmann::json sound = nlohmann::json::array();
-    for (const prompt_part_key part : report.sound) {
+    for (const crash_cause cause : report.sound) {
         if (!size.take(key_size)) {
             break;
         }
-        sound.push_back(part.value());
+        sound.push_back(cause.value());
     }
     return {std::move(crashes), std::move(sound), std::move(quarantined)};
 }
@@ -102,7 +102,7 @@
 Keys decode_keys(const nlohmann::json& from) {
     Keys keys;
     for (const auto& key : from) {
-        keys.insert(keys.end(), prompt_part_key(key.get<std::uint64_t>()));
+        keys.insert(keys.end(), crash_cause(key.get<std::uint64_t>()));
     }
     return keys;
 }
@@ -157,12 +157,12 @@
     for (const auto& each : from[crashes_field]) {
         report.crashes.push_back(
             {{server_key(each[0].get<std::uint64_t>()), incarnation(each[1].get<std::uint64_t>())},
-             decode_keys<std::vector<prompt_part_key>>(each[2])});
+             decode_keys<std::vector<crash_cause>>(each[2])});
     }
-    report.sound = decode_keys<std::vector<prompt_part_key>>(from[sound_field]);
+    report.sound = decode_keys<std::vector<crash_cause>>(from[sound_field]);
     for (const auto& each : from[quarantined_field]) {
         const auto left = std::min(each[0].get<std::uint64_t>(), max_remaining_ms);
-        report.quarantined.push_back({decode_keys<std::set<prompt_part_key>>(each[1]), milliseconds(left)});
+        report.quarantined.push_back({decode_keys<std::set<crash_cause>>(each[1]), milliseconds(left)});
     }
     return report;
 }
--- a/tests/unit-forwarder-quarantine.cpp
+++ b/tests/unit-forwarder-quarantine.cpp
@@ -20,8 +20,9 @@
         }
         m_forwarder->adopt(std::shared_ptr<const fleet_snapshot>(fleet));
     }
+    /// Each prompt is another request.
     std::shared_ptr<recorded_exchange> send_prompt(const std::string& part) {
-        return send("/stream/x", {{"prompt", "100"}, {"shared-part", part}});
+        return send("/stream/" + std::to_string(++m_prompts), {{"prompt", "100"}, {"shared-part", part}});
     }
     /// Loses the connection of the latest call, and lets the engine refuse the connection of the query that
     /// follows.
@@ -43,6 +44,8 @@
             crash_engine();
         }
     }
+
+    int m_prompts = 0;
 };
 
 // Guards against requests with one prompt part that end one engine after the other.
@@ -127,4 +130,130 @@
     EXPECT_EQ(m_calls.size(), sent);
 }
 
+/// Requests that end servers by their body, their path or their caller alone.
+class forwarder_deadly_request_fixture : public forwarder_quarantine_fixture {
+  protected:
+    void SetUp() override {
+        forwarder_quarantine_fixture::SetUp();
+        adopt_plain_servers();
+    }
+    void adopt_plain_servers() {
+        auto fleet = std::make_shared<fleet_snapshot>();
+        fleet->confirmed_at = m_now;
+        for (const char* id : {"p1", "p2", "p3", "p4", "p5"}) {
+            fleet->servers.push_back(server(id, "plain", engine_role::mixed));
+        }
+        for (const char* id : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+            fleet->servers.push_back(server(id, "model", engine_role::decode));
+        }
+        m_forwarder->adopt(std::shared_ptr<const fleet_snapshot>(fleet));
+    }
+    void crash_servers_with(const std::string& target, int count) {
+        for (int i = 0; i < count; ++i) {
+            send(target);
+            crash_engine();
+        }
+    }
+};
+
+// Guards against a plain call that ends one server after the other: nothing spoke against it.
+TEST_F(forwarder_deadly_request_fixture, call_under_which_three_servers_ended_is_refused_unsent) {
+    crash_servers_with("/once/deadly", 3);
+    const std::size_t sent = m_calls.size();
+    const auto refused = send("/once/deadly");
+    EXPECT_EQ(m_calls.size(), sent);
+    EXPECT_EQ(refused->status, 503U);
+    send("/once/other");
+    EXPECT_EQ(m_calls.size(), sent + 1) << "another path is refused too";
+    send("/once/deadly", {{"authorization", "another caller"}});
+    EXPECT_EQ(m_calls.size(), sent + 2) << "another caller is refused too";
+}
+
+// Guards against a generation whose prompt parts are all known to be sound.
+TEST_F(forwarder_deadly_request_fixture,
+       generation_with_sound_parts_that_ended_three_engines_is_refused_unsent) {
+    send_prompt("good");
+    begin_stream("id: 1\n\n");
+    respond(200, {{"seal", "s"}}, "");
+    const auto send_deadly = [this] {
+        return send("/single/deadly", {{"prompt", "100"}, {"shared-part", "good"}});
+    };
+    for (int i = 0; i < 3; ++i) {
+        send_deadly();
+        crash_engine();
+    }
+    const std::size_t sent = m_calls.size();
+    EXPECT_EQ(send_deadly()->status, 503U);
+    EXPECT_EQ(m_calls.size(), sent);
+    send_prompt("good");
+    EXPECT_EQ(m_calls.size(), sent + 1);
+}
+
+// Guards against a request that ends engines after its first event.
+TEST_F(forwarder_deadly_request_fixture, stream_that_breaks_off_with_its_engine_after_an_event_counts) {
+    for (int i = 0; i < 3; ++i) {
+        send("/single/deadly", {{"prompt", "100"}, {"shared-part", "good"}});
+        begin_stream("id: 1\n\n");
+        crash_engine();
+    }
+    const std::size_t sent = m_calls.size();
+    EXPECT_EQ(send("/single/deadly", {{"prompt", "100"}, {"shared-part", "good"}})->status, 503U);
+    EXPECT_EQ(m_calls.size(), sent);
+}
+
+// Guards against sound calls that are refused because answers break off at servers that are up.
+TEST_F(forwarder_deadly_request_fixture, calls_whose_answers_break_off_at_running_servers_are_not_refused) {
+    for (int i = 0; i < 4; ++i) {
+        send("/once/x");
+        (void)call();
+        fail_call(errc::backend_broken);
+        advance_time(milliseconds(30));
+        const auto query = m_start_queries.back()->hooks;
+        query.head(head(404));
+        query.end();
+        advance_time(milliseconds(5000));
+    }
+    const std::size_t sent = m_calls.size();
+    send("/once/x");
+    EXPECT_EQ(m_calls.size(), sent + 1);
+}
+
+// Guards against a call that is answered again and again and refused because servers end for other reasons.
+TEST_F(forwarder_deadly_request_fixture, call_that_is_answered_between_the_ends_of_servers_is_not_refused) {
+    for (int i = 0; i < 5; ++i) {
+        send("/once/x");
+        crash_engine();
+        send("/once/x");
+        respond_sealed("answer");
+        advance_time(milliseconds(4000));
+    }
+    const std::size_t sent = m_calls.size();
+    send("/once/x");
+    EXPECT_EQ(m_calls.size(), sent + 1);
+}
+
+// Guards against a call that may run once and is sent again because its server ended, and against an untrue
+// "not run".
+TEST_F(forwarder_deadly_request_fixture, call_that_may_run_once_is_not_repeated_and_may_have_run) {
+    const auto failed = send("/once/deadly");
+    const std::size_t sent = m_calls.size();
+    crash_engine();
+    EXPECT_EQ(m_calls.size(), sent);
+    EXPECT_EQ(failed->status, 502U);
+}
+
+// Guards against servers that end because of a request which another host knows already.
+TEST_F(forwarder_deadly_request_fixture, request_that_another_host_has_quarantined_is_refused_unsent) {
+    crash_servers_with("/once/deadly", 3);
+    work_report from_peer;
+    from_peer.from = endpoint("h2:1");
+    from_peer.number = report_number(1);
+    from_peer.quarantine = m_forwarder->heartbeat().quarantine;
+    SetUp();
+    m_forwarder->note_peer_report(from_peer);
+    const std::size_t sent = m_calls.size();
+    EXPECT_EQ(send("/once/deadly")->status, 503U);
+    EXPECT_EQ(m_calls.size(), sent);
+}
+
 } // namespace parsleypitch
--- a/tests/unit-peer-exchange.cpp
+++ b/tests/unit-peer-exchange.cpp
@@ -54,9 +54,9 @@
     for (int i = 0; i < 20; ++i) {
         report.started.push_back({key_of(backend_server_id("e" + std::to_string(i))), i * 10.0});
     }
-    report.quarantine.crashes = {{{server_key(7), incarnation(8)}, {prompt_part_key(~std::uint64_t{0})}}};
-    report.quarantine.sound = {prompt_part_key(9)};
-    report.quarantine.quarantined = {{{prompt_part_key(1), prompt_part_key(2)}, seconds(7200)}};
+    report.quarantine.crashes = {{{server_key(7), incarnation(8)}, {crash_cause(~std::uint64_t{0})}}};
+    report.quarantine.sound = {crash_cause(9)};
+    report.quarantine.quarantined = {{{crash_cause(1), crash_cause(2)}, seconds(7200)}};
     report.conditions = {{{server_key(7), incarnation(8)}, true, request_rate{1.5}},
                          {{server_key(9), incarnation(8)}, false, std::nullopt}};
     report.configuration = config_version(12);
@@ -78,10 +78,10 @@
     const quarantine_report& quarantine = decoded.value().quarantine;
     ASSERT_EQ(quarantine.crashes.size(), 1U);
     EXPECT_EQ(quarantine.crashes[0].crash, report.quarantine.crashes[0].crash);
-    EXPECT_EQ(quarantine.crashes[0].parts, report.quarantine.crashes[0].parts);
+    EXPECT_EQ(quarantine.crashes[0].causes, report.quarantine.crashes[0].causes);
     EXPECT_EQ(quarantine.sound, report.quarantine.sound);
     ASSERT_EQ(quarantine.quarantined.size(), 1U);
-    EXPECT_EQ(quarantine.quarantined[0].parts, report.quarantine.quarantined[0].parts);
+    EXPECT_EQ(quarantine.quarantined[0].causes, report.quarantine.quarantined[0].causes);
     EXPECT_EQ(quarantine.quarantined[0].remaining, seconds(7200));
     ASSERT_EQ(decoded.value().conditions.size(), 2U);
     EXPECT_EQ(decoded.value().conditions[0].server, report.conditions[0].server);
--- a/tests/unit-serving-quarantine.cpp
+++ b/tests/unit-serving-quarantine.cpp
@@ -1,4 +1,4 @@
-#include <parsleypitch/forwarding/prompt_quarantine.hpp>
+#include <parsleypitch/forwarding/crash_quarantine.hpp>
 #include <parsleypitch/metrics/metrics.hpp>
 #include <parsleypitch/serving/serving_quarantine.hpp>
 
@@ -88,8 +88,8 @@
         });
         done.get_future().wait();
     }
-    static quarantined_parts parts(duration remaining) {
-        return {{prompt_part_key(7), prompt_part_key(8)}, remaining};
+    static quarantined_causes parts(duration remaining) {
+        return {{crash_cause(7), crash_cause(8)}, remaining};
     }
     void record(duration remaining) {
         on_control([this, remaining] { m_service->record(parts(remaining)); });
@@ -124,7 +124,7 @@
     const auto decoded = decode_quarantine_record(encode_quarantine_record(parts(seconds(100)), now),
                                                   now + std::chrono::seconds(40));
     ASSERT_TRUE(decoded);
-    EXPECT_EQ(decoded.value().parts, parts(seconds(0)).parts);
+    EXPECT_EQ(decoded.value().causes, parts(seconds(0)).causes);
     EXPECT_NEAR(to_seconds(decoded.value().remaining), 60, 0.01);
 }
 
@@ -142,7 +142,7 @@
     };
     EXPECT_EQ(ends_at(std::numeric_limits<std::int64_t>::min()), duration::zero());
     EXPECT_EQ(ends_at(1), duration::zero());
-    EXPECT_EQ(ends_at(std::numeric_limits<std::int64_t>::max()), prompt_quarantine_config{}.max_period);
+    EXPECT_EQ(ends_at(std::numeric_limits<std::int64_t>::max()), crash_quarantine_config{}.max_period);
 }
 
 // Guards against hosts that forget quarantines when all of them restart.
