Let an odd object in the store cost that object alone

Another writer can leave an entry among those of the servers that is nested very deeply, has a number that no type holds, or an encoding or a port that is none. A page was parsed as one text, so a number like 1e999 or an invalid encoding anywhere failed the whole list and the whole watch, for ever. An entry was written out again for its decoder, recursively: 200,000 nested arrays overflowed the stack and ended the process. A port above 65,535 was cut to 16 bits, which names another server.

A list goes on after the last name also if that object is unreadable, and a page that does not advance is read again with back-off. Ports outside 1 to 65,535 are refused, also in the entries of entry hosts.

--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -53,6 +53,8 @@
     /// Returns whether an answer of this era can be used; a later era than the known one starts a new list.
     [[nodiscard]] bool accept_era(store_era era, const std::function<void()>& repeat);
     void on_page(const object_key& after, result<object_page> page);
+    /// Lists the objects after the last one of a page.
+    void continue_after(const object_key& before, const object_key& last);
     void watch();
     void on_events(result<object_event_batch> batch);
     /// Runs `step` after a delay with exponential back-off and jitter.
--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -23,6 +23,8 @@
 struct object_page {
     std::vector<directory_object> objects;
     bool has_more = false;
+    /// @brief Name of the last object, also if it could not be read; the next page begins after it.
+    object_key last;
     /// @brief Store revision at which the page was read.
     store_revision as_of;
 };
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -53,14 +53,23 @@
     }
     auto& objects = page.value().objects;
     std::move(objects.begin(), objects.end(), std::back_inserter(m_listed_objects));
-    if (page.value().has_more && !m_listed_objects.empty()) {
-        list_from(object_key(m_listed_objects.back().name));
+    if (page.value().has_more) {
+        continue_after(after, page.value().last);
         return;
     }
     m_hooks.listed(std::exchange(m_listed_objects, {}), m_revision);
     watch();
 }
 
+void kind_watcher::continue_after(const object_key& before, const object_key& last) {
+    if (last.empty() || last == before) {
+        retry(fail(errc::platform_protocol, "list: a page does not advance"),
+              [this, before] { list_from(before); });
+        return;
+    }
+    list_from(last);
+}
+
 void kind_watcher::watch() {
     m_source.watch(m_revision, m_hooks.watch_wait,
                    [self = shared_from_this(), call = ++m_call](result<object_event_batch> batch) {
--- a/src/serving/serving_peers.cpp
+++ b/src/serving/serving_peers.cpp
@@ -1,3 +1,4 @@
+#include <parsleypitch/encoding/address_text.hpp>
 #include <parsleypitch/serving/serving_peers.hpp>
 
 #include <nlohmann/json.hpp>
@@ -78,22 +79,23 @@
     if (after.empty()) {
         m_listed.clear();
     }
-    m_hosts.list(after, [self = shared_from_this(), done = std::move(done)](result<object_page> page) {
-        if (!page) {
-            self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); }, page.error());
-            return;
-        }
-        for (const directory_object& object : page.value().objects) {
-            if (const auto report_address = decode_host(object.content)) {
-                self->m_listed.push_back({object.name, object.revision, *report_address});
+    m_hosts.list(
+        after, [self = shared_from_this(), after, done = std::move(done)](const result<object_page>& page) {
+            if (!page) {
+                self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); }, page.error());
+                return;
             }
-        }
-        if (page.value().has_more && !page.value().objects.empty()) {
-            self->read_list(object_key(page.value().objects.back().name), done);
-            return;
-        }
-        done();
-    });
+            for (const directory_object& object : page.value().objects) {
+                if (const auto report_address = decode_host(object.content)) {
+                    self->m_listed.push_back({object.name, object.revision, *report_address});
+                }
+            }
+            if (page.value().has_more && !page.value().last.empty() && page.value().last != after) {
+                self->read_list(page.value().last, done);
+                return;
+            }
+            done();
+        });
 }
 
 void serving_peers::add_listed_peers() {
@@ -181,7 +183,8 @@
     if (!parsed.is_object() || !parsed.contains(reports_key) || !parsed[reports_key].is_string()) {
         return std::nullopt;
     }
-    return endpoint(parsed[reports_key].get<std::string>());
+    const auto& address = parsed[reports_key].get_ref<const std::string&>();
+    return is_host_and_port(address) ? std::optional(endpoint(address)) : std::nullopt;
 }
 
 service_name serving_peers_name() {
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -134,8 +134,8 @@
 
 void serving_quarantine::on_page(const object_key& after, const object_page& page) {
     adopt(page.objects);
-    if (page.has_more && !page.objects.empty() && page.objects.back().name != after) {
-        read(page.objects.back().name);
+    if (page.has_more && !page.last.empty() && page.last != after) {
+        read(page.last);
     } else if (std::exchange(m_write_missing, false)) {
         write_missing();
     }
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -45,6 +45,7 @@
             built.objects.push_back({object_key(name), revision(1), "{}"});
         }
         built.has_more = more;
+        built.last = built.objects.empty() ? object_key() : built.objects.back().name;
         built.as_of = revision(as_of, era);
         return built;
     }
@@ -193,4 +194,15 @@
     EXPECT_EQ(m_listed, (std::vector<std::size_t>{1, 0}));
 }
 
+// Guards against a list that is read for ever because none of the names of a page can be read.
+TEST_F(kind_watcher_fixture, page_that_does_not_advance_is_read_again_after_a_delay) {
+    answer(page({"a"}, true, 7));
+    answer(page({}, true, 7));
+    EXPECT_EQ(m_failures, std::vector<std::error_code>{errc::platform_protocol});
+    EXPECT_EQ(m_lists, (std::vector<std::string>{"", "a"}));
+    run_scheduled();
+    answer(page({"b"}, false, 7));
+    EXPECT_EQ(m_listed, std::vector<std::size_t>{2});
+}
+
 } // namespace parsleypitch
