Take no request during a stop that may not end before it

Reported by other operators: requests that came late in a planned stop were passed on and cut off at its end, calls that may not be repeated among them. Here such a request was taken until 5.5 s after SIGTERM whatever its deadline, and answered with 502 or 504, outcome unknown, at the end of the grace period: no connection was cut without an answer in this code, but the caller of a call that runs once could neither repeat it nor know. With a grace period of less than 6.2 s requests were taken until the end.

Change: after the time for streams a request is taken only if its deadline is before the last answers of the stop; others are refused with 503, not run, and the time to come back. The steps of a stop are parts of a short grace period.

Tests at the forwarder: a call that may outlast the stop, and what is open at its end (a call, a prefill under way, a begun stream), with the end told twice. The tests were not run against the former code, which has no such method.

--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -108,6 +108,8 @@
 
     /// @brief Refuses new streams from now on.
     void refuse_streams();
+    /// @brief Refuses new requests whose deadline is later, because they may not end in time.
+    void refuse_requests_beyond(time_point end);
     /// @brief Refuses all new requests from now on.
     void close();
     /// @brief Ends all open requests with a response that states whether they ran; the connections of started
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -58,6 +58,11 @@
                                  ? std::min<duration>(*m_call.caller_timeout, m_route->timeout)
                                  : m_route->timeout;
     m_deadline = m_received_at + timeout;
+    if (m_shared->last_deadline && m_deadline > *m_shared->last_deadline) {
+        refuse(fail(errc::draining, "entry host stops before the deadline of the request"),
+               m_shared->policy.retry_after_hint);
+        return;
+    }
     if (m_call.work) {
         m_shared_parts = shared_part_keys(*m_call.work);
     }
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -124,6 +124,10 @@
     m_state->refusing_streams = true;
 }
 
+void forwarder::refuse_requests_beyond(time_point end) {
+    m_state->last_deadline = end;
+}
+
 void forwarder::close() {
     m_state->refusing_requests = true;
 }
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -42,6 +42,8 @@
     std::size_t entry_hosts = assumed_entry_hosts;
     bool refusing_requests = false;
     bool refusing_streams = false;
+    /// Latest deadline of requests that are still accepted while the host stops.
+    std::optional<time_point> last_deadline;
 
     [[nodiscard]] retry_budget& budget_of(const backend_service_id& service) {
         return budgets.try_emplace(service, policy.retry).first->second;
--- a/src/serving/serving_traffic.cpp
+++ b/src/serving/serving_traffic.cpp
@@ -1,3 +1,4 @@
+#include <parsleypitch/serving/drain_schedule.hpp>
 #include <parsleypitch/serving/peer_exchange.hpp>
 #include <parsleypitch/serving/serving_traffic.hpp>
 
@@ -17,15 +18,7 @@
 /// are closed and reports to peers are sent.
 constexpr milliseconds housekeeping_period{150};
 constexpr milliseconds demand_period{1000};
-/// Time during which new streams are accepted while draining. The load balancer removes a host after two
-/// failed health checks, one a second. Later streams arrive only if no other host of the zone is ready; they
-/// are refused because they may not end within the grace period.
-constexpr milliseconds drain_accept_streams{3000};
-/// Time after which calls of plain services are refused too and the listener is closed.
-constexpr milliseconds drain_accept_calls{5500};
 constexpr milliseconds drain_check_period{50};
-/// Part of the grace period that is reserved for writing the last answers and ending the process.
-constexpr milliseconds grace_reserve{700};
 /// Time allowed for writing the last answers.
 constexpr milliseconds final_write_time{100};
 /// Clients keep idle connections up to the configured time-out; the host waits this much longer before it
@@ -176,12 +169,14 @@
 
 void serving_traffic::state::check_drain(time_point began, const std::shared_ptr<std::promise<void>>& done) {
     const duration passed = std::chrono::steady_clock::now() - began;
-    if (passed >= drain_accept_streams) {
+    const drain_schedule schedule = make_drain_schedule(settings.stop_grace);
+    if (passed >= schedule.last_stream) {
         request_forwarder->refuse_streams();
+        request_forwarder->refuse_requests_beyond(began + schedule.last_answers);
     }
-    const bool grace_over = passed >= settings.stop_grace - grace_reserve;
-    const bool idle = passed >= drain_accept_streams && request_forwarder->open_requests() == 0;
-    if (passed >= drain_accept_calls || idle) {
+    const bool grace_over = passed >= schedule.last_answers;
+    const bool idle = passed >= schedule.last_stream && request_forwarder->open_requests() == 0;
+    if (passed >= schedule.last_call || idle) {
         request_forwarder->close();
         caller_server->close_idle();
     }
--- a/tests/unit-forwarder-streams.cpp
+++ b/tests/unit-forwarder-streams.cpp
@@ -165,4 +165,47 @@
     EXPECT_EQ(send("/once/1")->status, 503U);
 }
 
+/// A host that stops and serves requests that still arrive.
+class stopping_forwarder_fixture : public forwarder_harness {
+  protected:
+    void SetUp() override {
+        forwarder_harness::SetUp();
+        adopt_fleet(true);
+    }
+};
+
+// Guards against requests that are taken late in a stop, passed on, and cut off at its end.
+TEST_F(stopping_forwarder_fixture, call_that_may_outlast_the_stop_is_refused_unsent) {
+    m_forwarder->refuse_requests_beyond(m_now + milliseconds(2000));
+    const auto refused = send("/once/x", {{"caller-timeout", "2001"}});
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_NE(refused->head.headers.find("retry-after"), nullptr);
+    EXPECT_TRUE(m_calls.empty());
+    const auto taken = send("/once/x", {{"caller-timeout", "2000"}});
+    ASSERT_EQ(m_calls.size(), 1U);
+    respond_sealed("answer");
+    EXPECT_EQ(taken->status, 200U);
+}
+
+// Guards against an untrue "not run" and against a second answer for what is open at the end of a stop.
+TEST_F(stopping_forwarder_fixture, open_requests_at_the_end_of_the_stop_get_one_true_answer_each) {
+    const auto prefill_under_way = send("/stream/x", {{"prompt", "20000"}});
+    ASSERT_TRUE(call().has("stage: prefill"));
+    const auto call_under_way = send("/once/x");
+    (void)call();
+    const auto begun = send("/single/x", {{"prompt", "100"}});
+    begin_stream("id: 1\n\n");
+    m_forwarder->refuse_requests_beyond(m_now);
+    m_forwarder->close();
+    m_forwarder->terminate_requests();
+    m_forwarder->terminate_requests(); // a second signal
+    EXPECT_EQ(call_under_way->status, 502U);
+    EXPECT_EQ(prefill_under_way->status, 503U);
+    EXPECT_TRUE(begun->aborted);
+    for (const auto& each : {call_under_way, prefill_under_way, begun}) {
+        EXPECT_EQ(each->final_responses, 1);
+    }
+    EXPECT_EQ(m_forwarder->open_requests(), 0U);
+}
+
 } // namespace parsleypitch
