--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -77,6 +77,7 @@
         add_store_faults();
         add_engine_faults();
         add_engine_statements();
+        add_store_restore();
     }
     return success();
 }
@@ -238,6 +239,15 @@
                             }});
 }
 
+void fault_series::add_store_restore() {
+    m_statements.push_back({"store_restored", false, [this](duration length) {
+                                m_traffic->post([length](testbed& bed) {
+                                    bed.store.make_copy();
+                                    start_timer(bed.context, length / 2, [&bed] { bed.store.restore(); });
+                                });
+                            }});
+}
+
 void fault_series::note_interruption(observed_interruption interruption) {
     m_traffic->post([interruption = std::move(interruption)](testbed& bed) {
         bed.observed.interruptions.push_back(interruption);
--- a/soak/fault_series.hpp
+++ b/soak/fault_series.hpp
@@ -50,6 +50,7 @@
     void add_store_faults();
     void add_engine_faults();
     void add_engine_statements();
+    void add_store_restore();
     void add_operator_work();
     void draw_next();
     void draw_statement();
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t max_history_length = 200;
 constexpr std::uint64_t percent_scale = 100;
 constexpr milliseconds max_write_delay{3000};
+/// Time after a restore until the operator and the engines have written again.
+constexpr milliseconds rewrite_delay{700};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_created = 201;
 constexpr unsigned status_malformed = 400;
@@ -31,10 +33,6 @@
 constexpr unsigned status_rate_limited = 429;
 constexpr unsigned status_busy = 503;
 
-void answer_json(const exchange_ptr& to, unsigned status, const json& body) {
-    answer(to, status, body.dump(), {{"Content-Type", "application/json"}});
-}
-
 /// A parsed request target; the name is empty for lists and watches.
 struct object_target {
     std::string kind;
@@ -83,12 +81,27 @@
         json spec;
         object_version revision;
     };
+    using objects_of = std::map<std::string, stored_object>;
+    struct contents {
+        std::map<std::string, objects_of> objects;
+        std::deque<change> history;
+        object_version newest;
+        object_version discarded_through;
+    };
+
+    [[nodiscard]] contents current() const { return {objects, history, newest, discarded_through}; }
 
     state(asio::io_context& io, endpoint at, random_hook random_source)
         : context(&io), listen(std::move(at)), random(std::move(random_source)),
           listener(
               io, [this](const exchange_ptr& call) { receive(call); }, malformed_message_answer) {}
 
+    void answer_json(const exchange_ptr& to, unsigned status, const json& body) const {
+        answer(to, status, body.dump(),
+               {{"Content-Type", "application/json"},
+                {std::string(names::store_era), std::to_string(era.value())}});
+    }
+
     void receive(const exchange_ptr& call) {
         ++calls;
         switch (condition.mode) {
@@ -262,6 +275,53 @@
         }
     }
 
+    void end_all_watches() {
+        for (auto& each : std::exchange(watches, {})) {
+            each.cancel();
+            each.exchange->abort();
+        }
+    }
+
+    void restore() {
+        const contents lost = current();
+        objects = copy.objects;
+        history = copy.history;
+        newest = copy.newest;
+        discarded_through = copy.discarded_through;
+        era = era.next();
+        end_all_watches();
+        run_after(rewrite_delay, [this, lost] {
+            write_again(lost, names::servers_kind);
+            write_again(lost, names::config_kind);
+        });
+    }
+
+    /// Writes what a kind had before the restore over what still is as in the copy.
+    void write_again(const contents& lost, std::string_view kind_name) {
+        const std::string kind(kind_name);
+        const auto before = lost.objects.find(kind);
+        for (const auto& [name, object] : before == lost.objects.end() ? objects_of{} : before->second) {
+            if (is_as_in_copy(kind, name)) {
+                change_object(kind, name, object.spec);
+            }
+        }
+        const objects_of restored = objects[kind];
+        for (const auto& [name, object] : restored) {
+            const bool was_gone = before == lost.objects.end() || !before->second.contains(name);
+            if (was_gone && is_as_in_copy(kind, name)) {
+                (void)remove({kind, name, {}});
+            }
+        }
+    }
+
+    [[nodiscard]] bool is_as_in_copy(const std::string& kind, const std::string& name) {
+        const auto find = [&](auto& all) {
+            const auto found = all[kind].find(name);
+            return found == all[kind].end() ? std::nullopt : std::optional(found->second.spec);
+        };
+        return find(objects) == find(copy.objects);
+    }
+
     static json encode(const std::string& name, const stored_object& object) {
         return {{"metadata", {{"name", name}, {"revision", object.revision.value()}}}, {"spec", object.spec}};
     }
@@ -279,7 +339,7 @@
     random_hook random;
     http::server listener;
     store_condition condition;
-    std::map<std::string, std::map<std::string, stored_object>> objects;
+    std::map<std::string, objects_of> objects;
     std::deque<change> history;
     std::list<waiting_watch> watches;
     /// Calls held without an answer while the store is silent.
@@ -287,6 +347,8 @@
     object_version newest{1};
     /// Watches can no longer start from a revision before this one.
     object_version discarded_through{0};
+    contents copy;
+    store_era era{1};
     std::uint64_t calls = 0;
 };
 
@@ -307,10 +369,7 @@
     const bool watches_end =
         condition.mode == store_response_mode::resets || condition.mode == store_response_mode::busy;
     if (watches_end) {
-        for (auto& each : std::exchange(m_state->watches, {})) {
-            each.cancel();
-            each.exchange->abort();
-        }
+        m_state->end_all_watches();
     }
     if (condition.mode != store_response_mode::silence) {
         for (const exchange_ptr& each : std::exchange(m_state->withheld, {})) {
@@ -322,10 +381,15 @@
 void store_stand_in::discard_history() {
     m_state->history.clear();
     m_state->discarded_through = m_state->newest;
-    for (auto& each : std::exchange(m_state->watches, {})) {
-        each.cancel();
-        each.exchange->abort();
-    }
+    m_state->end_all_watches();
+}
+
+void store_stand_in::make_copy() {
+    m_state->copy = m_state->current();
+}
+
+void store_stand_in::restore() {
+    m_state->restore();
 }
 
 object_version store_stand_in::put(std::string_view kind, const object_key& name, json spec) {
--- a/soak/store_stand_in.hpp
+++ b/soak/store_stand_in.hpp
@@ -46,6 +46,11 @@
     void set(const store_condition& condition);
     /// @brief Discards the change history and closes all watches, so that watchers have to list again.
     void discard_history();
+    /// @brief Keeps a copy of the contents for a later restore.
+    void make_copy();
+    /// @brief Goes back to the last copy and begins a new era. What entry hosts wrote since the copy was made
+    /// is lost; what the operator and the engines wrote is written again after a short time.
+    void restore();
     /// @brief Writes an object without going through HTTP, unaffected by the current condition.
     object_version put(std::string_view kind, const object_key& name, nlohmann::json spec);
     void remove(std::string_view kind, const object_key& name);
