Tell the configuration only to hosts that have started, and count only reports that tell it

Found by reading: a report without a version made a host that had just started take itself for current, since 0 is not above its own version, and each report within 2 s of a start caused another one, at all hosts. A second restore that is learnt of before the lease was read again did not begin the wait anew. Each has a test except the number of reports; the two tests were not run against the code before.

--- a/include/parsleypitch/forwarding/backend_pool.hpp
+++ b/include/parsleypitch/forwarding/backend_pool.hpp
@@ -165,6 +165,7 @@
     [[nodiscard]] double queued_prefill_ms(const backend_state& server, double no_peer_factor,
                                            time_point now) const;
     [[nodiscard]] bool has_new_peer(time_point now) const { return m_peers.has_new_host(now); }
+    [[nodiscard]] std::uint64_t started_peers() const noexcept { return m_peers.started_hosts(); }
     [[nodiscard]] std::size_t peers() const noexcept { return m_peers.size(); }
     /// @brief Servers without an entry whose stated conditions are remembered.
     [[nodiscard]] std::size_t unlisted_servers() const noexcept { return m_unlisted.size(); }
--- a/include/parsleypitch/forwarding/configuration_lag.hpp
+++ b/include/parsleypitch/forwarding/configuration_lag.hpp
@@ -21,11 +21,12 @@
 
     void note_own(config_version version) {
         m_own = std::max(m_own, version);
-        m_caught_up = m_caught_up || (m_own >= m_newest && m_newest != config_version());
+        note_caught_up();
     }
+    /// @param version 0 if the other host does not tell
     void note_peer(config_version version) {
         m_newest = std::max(m_newest, version);
-        m_caught_up = m_caught_up || m_own >= m_newest;
+        note_caught_up();
     }
 
     /// @brief Whether another host has a newer configuration in force.
@@ -36,6 +37,11 @@
     }
 
   private:
+    void note_caught_up() {
+        const bool can_tell = m_newest != config_version();
+        m_caught_up = m_caught_up || (can_tell && m_own >= m_newest);
+    }
+
     time_point m_started;
     config_version m_own;
     config_version m_newest;
--- a/include/parsleypitch/forwarding/peer_work.hpp
+++ b/include/parsleypitch/forwarding/peer_work.hpp
@@ -7,6 +7,7 @@
 #include <parsleypitch/forwarding/server_key.hpp>
 #include <parsleypitch/routing/prefix_index.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -69,6 +70,8 @@
   public:
     /// @return false if the report is not newer than the last one from its sender
     [[nodiscard]] bool note(const work_report& report, time_point now);
+    /// @brief Number of times that a host was first heard of, or heard of after a restart.
+    [[nodiscard]] std::uint64_t started_hosts() const noexcept { return m_started_hosts; }
     /// @brief Whether a host was first heard of, or heard of after a restart, within `new_host_period`.
     [[nodiscard]] bool has_new_host(time_point now) const {
         return m_new_host_at && now - *m_new_host_at < new_host_period;
@@ -86,6 +89,7 @@
 
     std::map<endpoint, peer> m_peers;
     std::optional<time_point> m_new_host_at;
+    std::uint64_t m_started_hosts = 0;
 };
 
 } // namespace parsleypitch
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -186,6 +186,7 @@
 }
 
 void forwarder::note_peer_report(const work_report& report) {
+    const std::uint64_t started_before = m_state->pool.started_peers();
     for (const backend_server_id& server : m_state->pool.note_peer_report(report, m_state->hooks.now())) {
         const server_conditions& known = m_state->pool.find(server)->conditions;
         m_state->log->info("server_condition_reported",
@@ -199,7 +200,7 @@
         m_state->note_quarantine_report(report.quarantine);
     }
     m_state->note_peer_configuration(report);
-    if (m_state->pool.has_new_peer(m_state->hooks.now())) {
+    if (m_state->pool.started_peers() != started_before) {
         m_state->hooks.report_pending(); // the new host is told the configuration in force
     }
 }
--- a/src/forwarding/peer_work.cpp
+++ b/src/forwarding/peer_work.cpp
@@ -18,6 +18,7 @@
     }
     if (added || sender.born != report.born) {
         m_new_host_at = now;
+        ++m_started_hosts;
     }
     sender = {report.born, report.number, now};
     return true;
--- a/src/lease/lease_state.cpp
+++ b/src/lease/lease_state.cpp
@@ -10,7 +10,8 @@
 }
 
 void lease_state::observe(const stored_lease& seen, time_point read_at) {
-    if (m_seen && seen.version.era > m_seen->version.era) {
+    const bool has_known_era = m_seen || m_restored_at;
+    if (has_known_era && seen.version.era > m_era) {
         on_restored(seen.version.era, read_at);
     }
     m_era = std::max(m_era, seen.version.era);
--- a/tests/unit-configuration-lag.cpp
+++ b/tests/unit-configuration-lag.cpp
@@ -33,6 +33,13 @@
     EXPECT_TRUE(m_forwarder->ready());
 }
 
+// Guards against a host that takes itself for current because a report does not tell the configuration.
+TEST_F(configuration_lag_fixture, report_without_a_configuration_says_nothing_about_it) {
+    report_configuration(0);
+    report_configuration(6, 2);
+    EXPECT_FALSE(m_forwarder->ready());
+}
+
 // Guards against a fleet that never serves again because the store never gets its configuration back.
 TEST_F(configuration_lag_fixture, host_that_waits_in_vain_serves_the_older_configuration) {
     report_configuration(6);
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -197,6 +197,17 @@
     EXPECT_EQ(m_second.propose(at(milliseconds(14'000)), write_id("x")).expected, m_stored.version);
 }
 
+// Guards against a second restore that is noticed before the first one has been read, and whose lost holder
+// still acts.
+TEST_F(restored_lease_fixture, second_restore_in_a_row_begins_the_wait_again) {
+    m_second.observe(m_stored, at(milliseconds(0)));
+    m_second.on_restored(store_era(2), at(milliseconds(1000)));
+    m_stored.version.era = store_era(3);
+    m_second.observe(m_stored, at(milliseconds(6000)));
+    EXPECT_EQ(m_second.next(at(milliseconds(12'999))), lease_action::wait);
+    EXPECT_EQ(m_second.next(at(milliseconds(13'000))), lease_action::acquire);
+}
+
 // Guards against a host that starts right after a restore and finds no lease, while the holder still acts.
 TEST_F(restored_lease_fixture, missing_lease_is_free_at_once_only_when_the_whole_system_starts) {
     m_first.observe(m_stored, at(milliseconds(0)));
