--- a/tests/unit-standin-service.cpp
+++ b/tests/unit-standin-service.cpp
@@ -46,7 +46,7 @@
 
 // Guards against a duplicate answer that the next request on the connection does not receive.
 TEST_F(standin_service_fixture, duplicate_answer_reaches_the_next_request_of_the_connection) {
-    service_server server({"desk", 8, 8, operations()});
+    service_server server({"desk", 8, 8, operations(), ""});
     ASSERT_TRUE(server.start());
     httplib::Client client("127.0.0.1", server.port());
     client.set_keep_alive(true);
