--- a/tests/unit-odd-entries.cpp
+++ b/tests/unit-odd-entries.cpp
@@ -131,8 +131,9 @@
         EXPECT_FALSE(protocol.decode_cache_report(R"({"epoch":)" + odd + R"(,"next":1})"));
         EXPECT_FALSE(protocol.decode_prefill(R"({"kv_handle":)" + odd + "}"));
         EXPECT_FALSE(protocol.decode_start(R"({"born":)" + odd + "}"));
-        (void)protocol.decode_cache_report(R"({"epoch":1,"next":1,"lost":)" + odd + R"(,"events":[)" + odd +
-                                           "]}");
+        std::string report = R"({"epoch":1,"next":1,"lost":)";
+        report.append(odd).append(R"(,"events":[)").append(odd).append("]}");
+        (void)protocol.decode_cache_report(report);
     }
     const std::string nested_cbor(2 * max_report_size, '\x81');
     EXPECT_FALSE(decode_work_report(nested_cbor, endpoint("10.0.0.1:1")));
