--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,10 @@
 top=$(cd "$here/../.." && pwd)
 export TROUBLE="${TROUBLE:-1}"
 [ -x "$top/target/parsleypitch" ] && [ -x "$top/target/review/case2" ] || exit 2
-cd "$top" && exec timeout -k 2 60 target/review/case2 "$top/target/parsleypitch" "$here/record.txt"
+cd "$top" || exit 2
+timeout -k 2 60 "target/review/case2" "$top/target/parsleypitch" "$here/record.txt"
+case $? in
+  0) exit 0 ;;
+  1) exit 1 ;;
+  *) exit 2 ;;
+esac
