Make fencing tokens from the era and the revision of the lease

Cause: the next token followed from the stored one. A host that stood still over the restore wrote the lease with a revision that the store had given out again and so put a token of the era before into it; the next holder counted from there and got the first token of the era once more.

Ruled out: the stale writer's own term (its answer names the new era and gives no term); a conditional call sent in spite of a known new era (the process had heard nothing).

Change: a token is era x 2^32 + the revision that the acquiring write names + 1, whatever the stored token is. A candidate reads the lease by a call that returns no older state at most 1 s before it takes it, so that a stale write rarely costs a sound holder the lease. Tokens of the version before stay in order with the new ones; stores without eras count as before.

Conclusion: no reading before a write can make a token unique, since the write may be late; the condition of the write itself can.

--- a/include/parsleypitch/lease/lease_state.hpp
+++ b/include/parsleypitch/lease/lease_state.hpp
@@ -18,6 +18,10 @@
 /// `lease_duration` has passed, and a candidate takes over this long after it.
 inline constexpr milliseconds lease_margin{1000};
 
+/// @brief Age up to which a read of the lease shows that it is still free. An older view may be from before a
+/// restore of the store, which gives out again the revision that the write would name.
+inline constexpr milliseconds lease_confirmation_validity{1000};
+
 /// @brief A process that holds the lease or tries to acquire it.
 struct lease_holder {
     entry_host_id id;
@@ -35,11 +39,14 @@
     write_history writes;
 };
 
-/// @brief Returns the lowest term of an era of the store.
+/// @brief Returns the term of an acquisition by a write that names `expected` as its condition, in a store
+/// that states eras.
 ///
-/// A restore undoes terms, and their holders may have sent orders. The terms of the new era are therefore
-/// higher than all terms of the eras before. An era has room for 2^32 terms.
-[[nodiscard]] fencing_number first_term(store_era era);
+/// The term does not depend on the stored one, which a write from before a restore may have replaced by a
+/// lower one. Each write gives the lease a higher revision, so that no two acquisitions of an era name the
+/// same one, and later ones name higher ones. A restore lowers the revisions of later acquisitions by less
+/// than 2^32, by which the era raises their terms.
+[[nodiscard]] fencing_number term_of_acquisition(const store_revision& expected);
 
 /// @brief The lease object as read from the store; the number of the version is 0 if it does not exist.
 struct stored_lease {
@@ -74,6 +81,16 @@
     /// @param read_at when the response to the read arrived
     void observe(const stored_lease& seen, time_point read_at);
 
+    /// @brief Records that the lease was read by a call that returns no older state.
+    /// @param sent_at when the call was sent
+    void confirm(time_point sent_at) { m_confirmed_at = sent_at; }
+
+    /// @brief Whether the stored lease was read recently enough for an acquisition to rest on it. A write
+    /// that rests on an older view could take the lease from a holder of a later era.
+    [[nodiscard]] bool is_confirmed(time_point now) const {
+        return m_confirmed_at && now - *m_confirmed_at <= lease_confirmation_validity;
+    }
+
     /// @brief Records that the store has been restored from a copy. The own term ends, since the store may
     /// have lost it. A process whose term was valid may acquire the lease at once, because no other one can
     /// hold it; all others wait until a lease of the lost time has ended.
@@ -129,6 +146,8 @@
     std::optional<stored_lease> m_seen;
     /// When the version of `m_seen` was first seen, or was sent if this process wrote it.
     time_point m_version_seen_at;
+    /// When the last read that returns no older state was sent.
+    std::optional<time_point> m_confirmed_at;
     std::optional<fencing_number> m_term;
     /// When the write that began or last renewed `m_term` was sent.
     time_point m_sent_at;
--- a/include/parsleypitch/serving/serving_roles.hpp
+++ b/include/parsleypitch/serving/serving_roles.hpp
@@ -48,7 +48,8 @@
     void advance_lease(time_point now);
     void read_lease(bool stale);
     void write_lease(time_point now);
-    void on_read(const result<object_reading>& read, time_point at);
+    /// @return whether the state of the lease is known from the answer
+    bool on_read(const result<object_reading>& read, time_point at);
     void on_written(const lease_proposal& proposal, const result<store_revision>& written,
                     time_point sent_at);
     /// Detects and logs that the lease was acquired or lost.
--- a/src/lease/lease_state.cpp
+++ b/src/lease/lease_state.cpp
@@ -4,9 +4,10 @@
 
 namespace parsleypitch {
 
-fencing_number first_term(store_era era) {
+fencing_number term_of_acquisition(const store_revision& expected) {
     constexpr unsigned bits_within_era = 32;
-    return fencing_number((era.value() << bits_within_era) + 1);
+    // The sum, unlike a field of bits, stays in order when an era has given out more than 2^32 revisions.
+    return fencing_number((expected.era.value() << bits_within_era) + expected.number.value() + 1);
 }
 
 void lease_state::observe(const stored_lease& seen, time_point read_at) {
@@ -35,6 +36,7 @@
     m_held_until =
         valid(noticed_at) ? std::optional(m_sent_at + lease_duration - lease_margin) : std::nullopt;
     m_seen.reset();
+    m_confirmed_at.reset();
     give_up();
 }
 
@@ -63,7 +65,10 @@
 
 lease_proposal lease_state::propose(time_point now, const write_id& id) const {
     const stored_lease base = m_seen.value_or(stored_lease{});
-    const fencing_number next_term = std::max(base.value.term.next(), first_term(m_era));
+    // A store that states no era is never restored, so that the stored term is the highest one.
+    const bool is_restorable = base.version.era != store_era();
+    const fencing_number next_term =
+        is_restorable ? term_of_acquisition(base.version) : base.value.term.next();
     const fencing_number term = valid(now) ? *m_term : next_term;
     return {base.version, base.value.writes, {term, m_self, append_write_id(base.value.writes, id)}};
 }
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -127,9 +127,15 @@
     }
     switch (m_lease.next(now)) {
     case lease_action::renew:
-    case lease_action::acquire:
         write_lease(now);
         break;
+    case lease_action::acquire:
+        if (m_lease.is_confirmed(now)) {
+            write_lease(now);
+        } else {
+            read_lease(false);
+        }
+        break;
     case lease_action::wait:
         read_lease(true);
         break;
@@ -142,31 +148,34 @@
     m_call_in_progress = true;
     const time_point now = m_clock();
     m_next_call = stale ? std::optional<time_point>(now + lease_read_period) : std::nullopt;
-    m_lease_object->read(stale, [self = shared_from_this()](const result<object_reading>& read) {
+    m_lease_object->read(stale, [self = shared_from_this(), stale, now](const result<object_reading>& read) {
         self->m_call_in_progress = false;
-        self->on_read(read, self->m_clock());
+        if (self->on_read(read, self->m_clock()) && !stale) {
+            self->m_lease.confirm(now);
+        }
     });
 }
 
-void serving_roles::on_read(const result<object_reading>& read, time_point at) {
+bool serving_roles::on_read(const result<object_reading>& read, time_point at) {
     if (!read) {
         m_next_call = at + retry_delay;
-        return;
+        return false;
     }
     const auto& stored = read.value().object;
     if (!stored) {
         m_read_needed = false;
         m_lease.observe({{read.value().era, object_version()}, {}}, at);
-        return;
+        return true;
     }
     auto value = detail::decode_lease(stored->content);
     if (!value) {
         m_log->warning("authority_unreadable", {{"reason", value.error().detail}});
         m_next_call = at + lease_read_period;
-        return;
+        return false;
     }
     m_read_needed = false;
     m_lease.observe({stored->revision, std::move(value.value())}, at);
+    return true;
 }
 
 void serving_roles::write_lease(time_point now) {
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -217,6 +217,60 @@
     EXPECT_EQ(m_second.next(at(milliseconds(7000))), lease_action::acquire);
 }
 
+// Guards against one fencing number for two holders: a process that stood still over a restore wrote the
+// lease with a revision given out again and so put a lower term into it, and the next holder counted from
+// there.
+TEST_F(restored_lease_fixture, term_after_a_stale_write_of_a_lower_term_is_above_the_term_it_replaced) {
+    m_first.observe(m_stored, at(milliseconds(0)));
+    write(m_first, at(milliseconds(0)));
+    restore(m_stored, at(milliseconds(1000)));
+    write(m_first, at(milliseconds(1000)));
+    const std::uint64_t replaced = term(m_first, at(milliseconds(1000)));
+    const lease_holder stale{entry_host_id("third"), incarnation(1)};
+    m_stored = {next_version(), {fencing_number(replaced - 1), stale, {}}};
+    m_first.observe(m_stored, at(milliseconds(3000)));
+    m_second.observe(m_stored, at(milliseconds(3000)));
+    EXPECT_FALSE(m_first.valid(at(milliseconds(3000))));
+    write(m_second, at(milliseconds(10'000)));
+    EXPECT_GT(term(m_second, at(milliseconds(10'000))), replaced);
+}
+
+// Guards against one fencing number for two holders while hosts of the version before, which count the terms,
+// still run.
+TEST_F(restored_lease_fixture, counted_terms_of_the_version_before_stay_between_the_terms_around_them) {
+    m_stored = {{store_era(1), object_version(40)},
+                {fencing_number((std::uint64_t{1} << 32U) + 3), {entry_host_id("old"), incarnation(1)}, {}}};
+    m_first.observe(m_stored, at(milliseconds(0)));
+    const std::uint64_t counted = m_stored.value.term.value();
+    write(m_first, at(milliseconds(7000)));
+    const std::uint64_t own = term(m_first, at(milliseconds(7000)));
+    EXPECT_GT(own, counted);
+    m_stored = {next_version(), {fencing_number(own + 1), {entry_host_id("old"), incarnation(1)}, {}}};
+    m_second.observe(m_stored, at(milliseconds(15'000)));
+    write(m_second, at(milliseconds(22'000)));
+    EXPECT_GT(term(m_second, at(milliseconds(22'000))), own + 1);
+}
+
+// Guards against terms that go down when an era has given out more revisions than its share of the numbers.
+TEST_F(restored_lease_fixture, terms_after_very_many_revisions_rise_across_a_restore) {
+    constexpr std::uint64_t many = (std::uint64_t{1} << 32U) + 1000;
+    const fencing_number before = term_of_acquisition({store_era(1), object_version(many)});
+    EXPECT_GT(term_of_acquisition({store_era(2), object_version(many - 900)}), before);
+    EXPECT_LT(term_of_acquisition({store_era(1), object_version(many - 1)}), before);
+}
+
+// Guards against an acquisition that rests on a view from before a freeze or a restore.
+TEST_F(restored_lease_fixture, view_of_the_lease_is_confirmed_only_shortly_after_a_read_in_the_same_era) {
+    EXPECT_FALSE(m_first.is_confirmed(at(milliseconds(0))));
+    m_first.observe(m_stored, at(milliseconds(0)));
+    m_first.confirm(at(milliseconds(0)));
+    EXPECT_TRUE(m_first.is_confirmed(at(milliseconds(1000))));
+    EXPECT_FALSE(m_first.is_confirmed(at(milliseconds(1001))));
+    m_first.confirm(at(milliseconds(2000)));
+    m_first.on_restored(store_era(2), at(milliseconds(2000)));
+    EXPECT_FALSE(m_first.is_confirmed(at(milliseconds(2000))));
+}
+
 class lease_service_fixture : public testing::Test {
   protected:
     void SetUp() override {
--- a/tests/unit-serving-roles.cpp
+++ b/tests/unit-serving-roles.cpp
@@ -17,10 +17,12 @@
   public:
     object_handle handle_for(kernel& host) {
         object_handle handle;
-        handle.read = [this, &host](bool, auto done) {
+        handle.read = [this, &host](bool stale, auto done) {
+            note_read(host, stale);
             host.post_control([answer = read(), done] { done(answer); });
         };
         handle.write = [this, &host](const std::string& content, const store_revision& expected, auto done) {
+            note_write(host, content);
             host.post_control([answer = write(content, expected), done] { done(answer); });
         };
         return handle;
@@ -65,6 +67,11 @@
                    ? detail::decode_lease(current.value().object->content).value().holder.id.str()
                    : "";
     }
+    /// Acquisitions whose host made another call than a read of the newest state before it.
+    int unconfirmed_acquisitions() {
+        const std::lock_guard lock(m_mutex);
+        return m_unconfirmed_acquisitions;
+    }
     void make_copy() {
         const std::lock_guard lock(m_mutex);
         m_copied_content = m_content;
@@ -80,6 +87,17 @@
 
   private:
     [[nodiscard]] store_revision revision() const { return {m_era, object_version(m_revision)}; }
+    void note_read(const kernel& host, bool stale) {
+        const std::lock_guard lock(m_mutex);
+        m_confirmed[&host] = !stale;
+    }
+    void note_write(const kernel& host, const std::string& content) {
+        const std::lock_guard lock(m_mutex);
+        const bool renewal = !m_content.empty() && detail::decode_lease(m_content).value().holder ==
+                                                       detail::decode_lease(content).value().holder;
+        m_unconfirmed_acquisitions += !renewal && !m_confirmed[&host] ? 1 : 0;
+        m_confirmed[&host] = false;
+    }
 
     std::mutex m_mutex;
     std::string m_content;
@@ -89,6 +107,9 @@
     std::uint64_t m_copied_revision = 0;
     bool m_down = false;
     int m_lose_answers = 0;
+    /// Whether the last call of a host was a read of the newest state.
+    std::map<const kernel*, bool> m_confirmed;
+    int m_unconfirmed_acquisitions = 0;
 };
 
 /// Entry hosts with a simulated clock and an engine that records the orders it receives.
@@ -248,6 +269,23 @@
     EXPECT_GE(after[2].at - stopped, milliseconds(3000));
 }
 
+// Guards against a host with an old view that takes the lease from a holder of a later era: the store may
+// have given out again the revision that the host has read last.
+TEST_F(serving_roles_fixture, candidate_of_an_expired_lease_reads_it_anew_before_it_writes) {
+    start_host("a");
+    start_host("b");
+    advance(milliseconds(1000));
+    const std::string first = m_lease_object.holder();
+    ASSERT_NE(first, "");
+    m_hosts[first].process->stop();
+    const std::string second = first == "a" ? "b" : "a";
+    for (int step = 0; step < 40 && m_lease_object.holder() != second; ++step) {
+        advance(milliseconds(500));
+    }
+    EXPECT_EQ(m_lease_object.holder(), second);
+    EXPECT_EQ(m_lease_object.unconfirmed_acquisitions(), 0);
+}
+
 // Guards against orders of a holder that cannot renew its lease.
 TEST_F(serving_roles_fixture, holder_without_the_store_sends_no_orders_after_its_lease) {
     start_host("a");
