Let a host write its entry again after another one has removed it

Cause: the removal of a host that is gone rests on a bare revision, which does not change when the host comes back at the same address, and which a restored store gives out again; a removal can also be late. It then meets the entry of a host that is back, and hosts that start later do not find that host, which wrote its entry once only.

Tests: serving_restore_fixture.host_entry_that_another_host_has_removed_ is_written_again fails without the check.

--- a/include/parsleypitch/serving/serving_peers.hpp
+++ b/include/parsleypitch/serving/serving_peers.hpp
@@ -50,7 +50,8 @@
   public:
     /// @param report_address address at which this host receives load reports; if empty, the host is not
     /// listed
-    explicit serving_peers(endpoint report_address) : m_report_address(std::move(report_address)) {}
+    explicit serving_peers(endpoint report_address, duration check_period = host_list_check_period)
+        : m_report_address(std::move(report_address)), m_check_period(check_period) {}
 
     [[nodiscard]] service_name name() const override;
     [[nodiscard]] result<void> start(kernel& host) override;
@@ -75,10 +76,14 @@
     void read_list(const object_key& after, std::function<void()> done);
     void add_listed_peers();
     void schedule_check();
+    /// Whether the list that was read last has this host. Another one may have removed it: a removal that is
+    /// late, or that rests on a revision from before a restore, can meet the entry of a host that is back.
+    [[nodiscard]] bool is_listed() const;
     void remove_stale(const std::vector<endpoint>& active);
     void retry(std::function<void()> step, const error& why);
 
     endpoint m_report_address;
+    duration m_check_period;
     kernel* m_kernel = nullptr;
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<serving_traffic> m_traffic;
--- a/src/serving/serving_peers.cpp
+++ b/src/serving/serving_peers.cpp
@@ -114,12 +114,17 @@
     if (std::exchange(m_check_scheduled, true)) {
         return;
     }
-    m_kernel->post_control_after(host_list_check_period, [self = shared_from_this()] {
+    m_kernel->post_control_after(m_check_period, [self = shared_from_this()] {
         self->m_check_scheduled = false;
         if (self->m_stopped) {
             return;
         }
         self->read_list(object_key(), [self] {
+            if (!self->is_listed()) {
+                self->m_log->warning("host_entry_missing", {});
+                self->read_own();
+                return;
+            }
             self->m_traffic->query_peers([self](const std::vector<endpoint>& active) {
                 self->remove_stale(active);
                 self->schedule_check();
@@ -128,6 +133,11 @@
     });
 }
 
+bool serving_peers::is_listed() const {
+    return std::any_of(m_listed.begin(), m_listed.end(),
+                       [this](const listed_host& each) { return each.report_address == m_report_address; });
+}
+
 void serving_peers::remove_stale(const std::vector<endpoint>& active) {
     for (const listed_host& each : m_stale_host_finder.find(m_listed, m_report_address, active)) {
         m_host_entry(each.name).remove(each.revision, [log = m_log,
--- a/tests/unit-serving-restore.cpp
+++ b/tests/unit-serving-restore.cpp
@@ -47,7 +47,7 @@
             std::make_shared<serving_traffic>(settings, incarnation(1), backend_protocol{}),
             std::make_shared<serving_roles>(lease_holder{settings.id, incarnation(1)}, backend_protocol{},
                                             milliseconds(3000), steady_clock_hook()),
-            std::make_shared<serving_peers>(settings.peers),
+            std::make_shared<serving_peers>(settings.peers, milliseconds(100)),
             std::make_shared<serving_quarantine>([] { return std::chrono::system_clock::now(); }),
             std::make_shared<serving_directory>(settings, adapter(settings))};
         for (const auto& each : services) {
@@ -132,6 +132,15 @@
     EXPECT_TRUE(eventually([this] { return m_store.count("hosts") == 1; }));
 }
 
+// Guards against a host that those which start no longer find, because a removal that was late or rested on a
+// revision from before a restore met its entry.
+TEST_F(serving_restore_fixture, host_entry_that_another_host_has_removed_is_written_again) {
+    ASSERT_TRUE(eventually([this] { return m_store.count("hosts") == 1; }));
+    m_store.erase("hosts", "h1");
+    EXPECT_TRUE(eventually([this] { return m_store.count("hosts") == 1; }));
+    EXPECT_GE(logged("host_entry_missing"), 1);
+}
+
 // Guards against a lease that is never written again.
 TEST_F(serving_restore_fixture, lease_that_a_restored_store_lacks_is_acquired_again) {
     ASSERT_TRUE(eventually([this] { return m_store.count("authority") == 1; }));
