Keep a silent attempt unless another server can do better

Cause: on_attempt_timeout ended a running attempt as long as attempts and budget were left and looked for another engine only afterwards. After the first event it did not tell a stream that is preempted from an engine that hangs. A begun stream that found no engine was given up at once.

Ruled out: the stop itself (same order of events without it), the engine (the stream that was spared ended complete).

Change: the target is chosen first: a healthy server with room that can answer before the deadline. An engine that sends events of other requests keeps the stream for half of the gap that the route's callers bear, which the platform's folder decodes. A begun stream without an engine waits for one until its deadline; with its attempts used up by refusals it goes back to an engine that it has used. An engine that is silent altogether is left after 1.5 s as before if there is another one.

Conclusion: ending an attempt is worth it only if something better is known for the caller.

--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -65,8 +65,14 @@
     duration first_event_timeout_margin = milliseconds(1200);
     /// @brief Longest wait for the first event of a generation while the engine answers other requests.
     duration max_first_event_wait = milliseconds(3500);
-    /// @brief A resumable stream without an event for this time resumes at another engine.
+    /// @brief A resumable stream without an event for this time resumes at another engine that has room.
     duration stream_stall_timeout = milliseconds(1500);
+    /// @brief Part of the longest gap that callers bear for which a stream stays at an engine that sends
+    /// events of other streams. Such an engine has preempted the stream and will go on with it.
+    double preempted_stream_patience = 0.5;
+    /// @brief Interval at which an attempt without an answer, and a stream that waits for an engine, are
+    /// checked again.
+    duration waiting_check_period = milliseconds(250);
     /// @brief Requests that may run at most once reuse only connections that were idle for less than this
     /// time.
     duration at_most_once_max_idle = milliseconds(1000);
--- a/include/parsleypitch/forwarding/placement.hpp
+++ b/include/parsleypitch/forwarding/placement.hpp
@@ -99,6 +99,10 @@
     bool without_prefill = false;
     /// @brief Uses servers on probation only if there is no other, because the request may not run twice.
     bool avoid_probation = false;
+    /// @brief Uses only servers that are healthy and not known to be full.
+    bool only_with_room = false;
+    /// @brief If set, uses only these servers.
+    std::optional<std::vector<backend_server_id>> allowed;
 };
 
 /// @brief Selects the engines for a generation.
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -113,9 +113,12 @@
 }
 
 void forwarded_request::refuse_unplaced() {
+    const error why = fail(errc::no_backend_server, m_service->id.str() + ": no server accepts new requests");
+    if (wait_to_resume(why, true)) {
+        return;
+    }
     const duration wait = m_shared->pool.time_to_accept(m_service->id, now());
-    refuse(fail(errc::no_backend_server, m_service->id.str() + ": no server accepts new requests"),
-           std::max(wait, m_shared->policy.retry_after_hint));
+    refuse(why, std::max(wait, m_shared->policy.retry_after_hint));
 }
 
 void forwarded_request::send_plain() {
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -44,6 +44,9 @@
         bool response_started = false;
         /// When the first event of this attempt arrived.
         std::optional<time_point> first_event_at;
+        std::optional<time_point> last_event_at;
+        /// Why the attempt was last kept in spite of its silence.
+        std::string_view kept_because;
         http::response_head head;
         response_metadata metadata;
         std::string body;
@@ -70,19 +73,38 @@
     void on_body(const std::string& part);
     void on_end();
     void on_failed(const error& why);
-    void on_attempt_timeout();
     void on_prefill_end();
     /// Corrects the estimates for the server of the current attempt after its prefill.
     void note_prefill_ended(double took_ms);
     void on_stream_part(const std::string& part);
     void forward_events(const std::string& events);
 
+    // Moves to another server
+    /// Moves the request if its server is silent and another one can do better for the caller.
+    void on_attempt_timeout();
+    /// Why the current attempt goes on in spite of its silence; empty if the request moves.
+    [[nodiscard]] std::string_view reason_to_stay() const;
+    /// Whether the server of the current attempt sends events of other requests, so that it has not reached
+    /// this one yet or has preempted it.
+    [[nodiscard]] bool server_is_busy() const;
+    /// Whether another server has room and can answer before the deadline.
+    [[nodiscard]] bool other_server_has_room() const;
+    /// Waits for an engine that can go on with a stream that has begun.
+    /// @param is_paid whether the next attempt has been taken from the retry budget
+    /// @return false if the stream cannot be resumed
+    [[nodiscard]] bool wait_to_resume(const error& why, bool is_paid);
+    void arm_resume_timer();
+    void try_resume();
+    [[nodiscard]] placement_constraints resume_constraints() const;
+
     // End of attempts and of the request
     void finish_attempt(std::optional<attempt_result> result);
     /// Cancels the current attempt, if there is one, and frees what it reserved.
     void end_attempt_early(std::optional<attempt_result> result);
     void after_failure(const error& why, run_state attempt_ran);
-    [[nodiscard]] bool decide_retry(const error& why, run_state attempt_ran);
+    [[nodiscard]] retry_reason decide_retry(const error& why, run_state attempt_ran);
+    /// Whether engines have ended under this request or its prompt, so that a repeat could end another one.
+    [[nodiscard]] bool repeat_is_dangerous(const error& why, run_state attempt_ran) const;
     /// Notes that the server of the current attempt lost this request.
     void note_lost();
     /// How long this request is refused because engines ended; zero if it is not.
@@ -123,6 +145,13 @@
     /// Attempts that count towards the route's maximum.
     unsigned m_attempts = 0;
     unsigned m_connect_failures = 0;
+    /// Attempts that may have run the request.
+    unsigned m_runs = 0;
+    /// Servers that refused the request or were left for their silence. They may get it again without more
+    /// servers being used than the route allows.
+    std::vector<backend_server_id> m_reusable_servers;
+    /// The next attempt of a stream that waits for an engine has been taken from the retry budget.
+    bool m_resume_is_paid = false;
     bool m_prefill_failed = false;
     /// An engine lost this request before its first event.
     bool m_lost_before_event = false;
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -48,12 +48,21 @@
     release_source();
     if (attempt_ran != run_state::not_run) {
         m_ran = attempt_ran;
+        ++m_runs;
     }
     m_prefill_failed = true;
-    if (decide_retry(why, attempt_ran)) {
+    const retry_reason decision =
+        repeat_is_dangerous(why, attempt_ran) ? retry_reason::permanent : decide_retry(why, attempt_ran);
+    if (retry_decision{decision}.retry()) {
         send_next();
         return;
     }
+    // Servers that have not run the request may get it again.
+    const bool may_return = decision == retry_reason::attempts_exhausted && m_runs < m_route->max_attempts &&
+                            !m_reusable_servers.empty();
+    if ((decision == retry_reason::budget_exhausted || may_return) && wait_to_resume(why, false)) {
+        return;
+    }
     if (m_stream_begun) {
         m_exchange->abort();
         finish_request("stream_aborted", 0, reason_name(why.code));
@@ -66,22 +75,25 @@
     refuse(why, m_shared->policy.retry_after_hint);
 }
 
-bool forwarded_request::decide_retry(const error& why, run_state attempt_ran) {
-    // A repeat could end another engine.
+bool forwarded_request::repeat_is_dangerous(const error& why, run_state attempt_ran) const {
     const bool suspected_prompt = m_lost_before_event && m_shared->quarantine.is_suspected(m_shared_parts);
     const bool suspected_request =
         (m_losses >= max_losses && m_shared->quarantine.is_suspected({&m_identity, 1})) ||
         quarantine_remaining() > duration::zero();
-    if (suspected_prompt || suspected_request) {
-        const std::string decision = suspected_prompt ? "suspected_prompt" : "suspected_request";
-        m_shared->count("parsleypitch_retry_decisions_total", {{"reason", decision}});
-        m_shared->log->info("retry_decision", {{"request", m_call.id},
-                                               {"decision", decision},
-                                               {"failure", reason_name(why.code)},
-                                               {"ran", to_string(attempt_ran)},
-                                               {"sends", m_attempts}});
+    if (!suspected_prompt && !suspected_request) {
         return false;
     }
+    const std::string decision = suspected_prompt ? "suspected_prompt" : "suspected_request";
+    m_shared->count("parsleypitch_retry_decisions_total", {{"reason", decision}});
+    m_shared->log->info("retry_decision", {{"request", m_call.id},
+                                           {"decision", decision},
+                                           {"failure", reason_name(why.code)},
+                                           {"ran", to_string(attempt_ran)},
+                                           {"sends", m_attempts}});
+    return true;
+}
+
+retry_reason forwarded_request::decide_retry(const error& why, run_state attempt_ran) {
     retry_policy_config config;
     config.max_attempts = m_route->max_attempts;
     config.base_delay = duration::zero();
@@ -98,7 +110,7 @@
                                            {"sends", m_attempts},
                                            {"max_attempts", m_route->max_attempts},
                                            {"budget", m_shared->budget_of(m_service->id).available()}});
-    return decision.retry();
+    return decision.reason;
 }
 
 duration forwarded_request::quarantine_remaining() const {
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -97,6 +97,7 @@
 }
 
 void forwarded_request::forward_events(const std::string& events) {
+    m_attempt->last_event_at = now();
     if (!m_attempt->first_event_at) {
         m_attempt->first_event_at = now();
     } else if (now() - *m_attempt->first_event_at >= detail::survival_time) {
@@ -155,6 +156,9 @@
     }
     if (m_attempt->metadata.not_run) {
         const bool misdirected = status == detail::status_misdirected;
+        if (!misdirected) {
+            m_reusable_servers.push_back(m_attempt->server.id);
+        }
         finish_attempt(misdirected ? attempt_result::misdirected : attempt_result::refused);
         after_failure(fail(misdirected ? errc::backend_leaving : errc::backend_overloaded,
                            m_tried_servers.back().str() + " responded with status " + std::to_string(status)),
@@ -232,7 +236,9 @@
                                                             : std::optional(attempt_result::unreachable));
         --m_attempts; // nothing was sent, so this does not count as an attempt
         if (++m_connect_failures >= m_shared->policy.max_connect_failures) {
-            refuse(why, m_shared->policy.retry_after_hint);
+            if (!wait_to_resume(why, true)) {
+                refuse(why, m_shared->policy.retry_after_hint);
+            }
             return;
         }
         m_shared->log->warning("attempt_not_sent", {{"request", m_call.id}, {"reason", why.detail}});
@@ -256,30 +262,4 @@
     m_shared->crashes->on_request_lost(m_attempt->server.id, m_first_event_after ? identity_only : m_causes);
 }
 
-void forwarded_request::on_attempt_timeout() {
-    if (m_finished || !m_attempt) {
-        return;
-    }
-    const bool repeatable = is_repeatable() || m_attempt->stage == attempt_stage::prefill;
-    const bool attempts_left = m_attempts < m_route->max_attempts;
-    if (!repeatable || !attempts_left || m_shared->budget_of(m_service->id).available() < 1) {
-        return; // no further attempt is possible, so keep waiting
-    }
-    // An engine that answers other requests is busy, not down; another engine would start the work from
-    // scratch.
-    const backend_state* state = m_shared->pool.find(m_attempt->server.id);
-    const bool is_active = state != nullptr && state->last_received_at > m_attempt->started;
-    const duration waited = now() - m_attempt->started;
-    if (m_call.work && is_active && !m_first_event_after && waited < m_shared->policy.max_first_event_wait) {
-        arm_attempt_timer(m_shared->policy.first_event_timeout_margin);
-        return;
-    }
-    const bool is_prefill = m_attempt->stage == attempt_stage::prefill;
-    m_attempt->call.cancel();
-    const std::string server = m_attempt->server.id.str();
-    finish_attempt(attempt_result::silent);
-    after_failure(fail(errc::backend_silent, server + " sent no data before the attempt timeout"),
-                  is_prefill ? run_state::not_run : run_state::outcome_unknown);
-}
-
 } // namespace parsleypitch
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -15,9 +15,19 @@
 constexpr double bits_per_byte = 8;
 constexpr double ms_per_second = 1000;
 
+bool contains(const std::vector<backend_server_id>& servers, const backend_state& candidate) {
+    return std::find(servers.begin(), servers.end(), candidate.entry.id) != servers.end();
+}
+
 bool is_excluded(const backend_state& candidate, const placement_constraints& constraints) {
-    return std::find(constraints.excluded.begin(), constraints.excluded.end(), candidate.entry.id) !=
-           constraints.excluded.end();
+    return contains(constraints.excluded, candidate) ||
+           (constraints.allowed && !contains(*constraints.allowed, candidate));
+}
+
+/// Whether a server has free slots. The work of all entry hosts is extrapolated from that of this host.
+bool has_room(const backend_state& candidate, double queue_share_factor) {
+    return candidate.entry.slots == 0 ||
+           candidate.running * queue_share_factor < static_cast<double>(candidate.entry.slots);
 }
 
 bool is_healthy(const backend_state& candidate, const placement_constraints& constraints, duration silence,
@@ -31,12 +41,12 @@
     return !candidate.on_probation() || (candidate.running == 0 && !constraints.avoid_probation);
 }
 
-/// Healthy untried servers that match the predicate, or all untried ones that match if none is healthy.
-/// Servers that have asked to be left alone are never among them.
+/// Healthy untried servers that match the predicate, or all untried ones that match if none is healthy and
+/// the constraints allow these. Servers that have asked to be left alone are never among them.
 template <class Predicate>
 std::vector<const backend_state*> candidates(const backend_pool& pool, const backend_service_id& service,
                                              const placement_constraints& constraints, duration silence,
-                                             time_point now, Predicate matches) {
+                                             double queue_share_factor, time_point now, Predicate matches) {
     std::vector<const backend_state*> untried;
     std::vector<const backend_state*> healthy;
     for (const backend_state* each : pool.usable_servers(service)) {
@@ -44,11 +54,12 @@
             continue;
         }
         untried.push_back(each);
-        if (is_healthy(*each, constraints, silence, now)) {
+        const bool is_usable = !constraints.only_with_room || has_room(*each, queue_share_factor);
+        if (is_usable && is_healthy(*each, constraints, silence, now)) {
             healthy.push_back(each);
         }
     }
-    return healthy.empty() ? untried : healthy;
+    return healthy.empty() && !constraints.only_with_room ? untried : healthy;
 }
 
 bool is_prefill_engine(const backend_state& engine) {
@@ -110,10 +121,10 @@
                       time_point now)
         : m_pool(pool), m_engine_parameters(service.engine.value_or(engine_parameters{})), m_work(work),
           m_constraints(constraints), m_policy(policy), m_now(now) {
-        m_prefill = candidates(pool, service.id, constraints, policy.engine_unresponsive_after, now,
-                               is_prefill_engine);
-        m_decode =
-            candidates(pool, service.id, constraints, policy.engine_unresponsive_after, now, can_decode);
+        m_prefill = candidates(pool, service.id, constraints, policy.engine_unresponsive_after,
+                               policy.queue_share_factor, now, is_prefill_engine);
+        m_decode = candidates(pool, service.id, constraints, policy.engine_unresponsive_after,
+                              policy.queue_share_factor, now, can_decode);
         m_prefill_home = home_of(m_prefill, shared_parts(work));
         m_decode_home = home_of(m_decode, shared_parts(work));
         for (const prompt_part& part : shared_parts(work)) {
@@ -309,8 +320,9 @@
                                              const placement_policy& policy, time_point now) {
     const backend_state* chosen = nullptr;
     double lowest = std::numeric_limits<double>::max();
-    for (const backend_state* each : detail::candidates(
-             pool, service.id, constraints, policy.engine_unresponsive_after, now, detail::can_decode)) {
+    for (const backend_state* each :
+         detail::candidates(pool, service.id, constraints, policy.engine_unresponsive_after,
+                            policy.queue_share_factor, now, detail::can_decode)) {
         const double zone_cost = each->entry.zone == prefill_zone ? 0 : policy.transfer_penalty_ms;
         const double load = policy.step_ms_per_request * each->running + each->recent_excess_ms(now) +
                             pool.queued_prefill_ms(*each, 1, now) + zone_cost;
@@ -334,7 +346,8 @@
     double lowest = std::numeric_limits<double>::max();
     const auto any = [](const backend_state&) { return true; };
     for (const backend_state* each :
-         detail::candidates(pool, service, constraints, policy.plain_server_unresponsive_after, now, any)) {
+         detail::candidates(pool, service, constraints, policy.plain_server_unresponsive_after,
+                            policy.queue_share_factor, now, any)) {
         const double zone = each->entry.zone == constraints.own_zone ? 0 : policy.cross_zone_rtt_ms;
         const double slots = static_cast<double>(std::max<std::uint64_t>(1, each->entry.slots));
         // The work of all entry hosts is extrapolated from that of this host. A server that fails all
--- a/tests/unit-platform-codec.cpp
+++ b/tests/unit-platform-codec.cpp
@@ -76,6 +76,7 @@
     EXPECT_EQ(stream->kind, request_kind::stream);
     EXPECT_EQ(stream->timeout, milliseconds(4000));
     EXPECT_EQ(stream->target_latency, milliseconds(1200));
+    EXPECT_EQ(stream->max_event_gap, milliseconds(4800));
     EXPECT_EQ(stream->urgency, 1U);
     EXPECT_EQ(stream->max_attempts, 2U);
     EXPECT_TRUE(stream->resumable);
@@ -91,6 +92,21 @@
     EXPECT_EQ(table.limits().idle_timeout, seconds(15));
 }
 
+// Guards against streams that are moved or cut while their clients still wait for them.
+TEST_F(directory_codec_fixture, decode_configuration_takes_the_longest_of_the_gaps_that_clients_bear) {
+    const auto gap_of = [](const std::string& times) {
+        const auto decoded = decode_configuration(
+            object(R"({"version":7,"services":[],"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+                   R"("kind":"streaming","service":"s",)" +
+                   times + "}]}"));
+        return decoded ? decoded.value().match("h", "/p/x")->max_event_gap : duration::zero();
+    };
+    EXPECT_EQ(gap_of(R"("target_latency_ms":400,"target_gap_ms":100)"), seconds(2));
+    EXPECT_EQ(gap_of(R"("target_latency_ms":3000,"target_gap_ms":300)"), seconds(12));
+    EXPECT_EQ(gap_of(R"("target_latency_ms":800,"target_gap_ms":500)"), seconds(4));
+    EXPECT_GE(gap_of(R"("target_latency_ms":1e300,"target_gap_ms":1e300)"), seconds(2));
+}
+
 // Guards against a configuration that is applied in part.
 TEST_F(directory_codec_fixture, decode_configuration_of_an_invalid_document_fails) {
     EXPECT_FALSE(decode_configuration(object(R"({"version":7,"routes":[{"name":"r"}],"services":[]})")));
