Count the running attempt when attempts are compared with the maximum

Cause: attempts are counted when they end. on_attempt_timeout compared that count with the route's maximum, so it also ended the last attempt; the retry was then refused with attempts_exhausted and the stream cut.

Change: attempts_made counts the running attempt too and is used wherever attempts are compared or logged.

--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -82,6 +82,8 @@
     // Moves to another server
     /// Moves the request if its server is silent and another one can do better for the caller.
     void on_attempt_timeout();
+    /// Attempts that count towards the route's maximum, with the current one.
+    [[nodiscard]] unsigned attempts_made() const { return m_attempts + (m_attempt ? 1 : 0); }
     /// Why the current attempt goes on in spite of its silence; empty if the request moves.
     [[nodiscard]] std::string_view reason_to_stay() const;
     /// Whether the server of the current attempt sends events of other requests, so that it has not reached
@@ -142,7 +144,7 @@
     /// KV cache of a prefill that no decode engine has consumed yet.
     std::optional<kv_source> m_kv_source;
     std::vector<backend_server_id> m_tried_servers;
-    /// Attempts that count towards the route's maximum.
+    /// Attempts that have ended and count towards the route's maximum.
     unsigned m_attempts = 0;
     unsigned m_connect_failures = 0;
     /// Attempts that may have run the request.
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -89,7 +89,7 @@
                                            {"decision", decision},
                                            {"failure", reason_name(why.code)},
                                            {"ran", to_string(attempt_ran)},
-                                           {"sends", m_attempts}});
+                                           {"sends", attempts_made()}});
     return true;
 }
 
@@ -98,7 +98,7 @@
     config.max_attempts = m_route->max_attempts;
     config.base_delay = duration::zero();
     const retry_policy policy(config, m_shared->hooks.random);
-    const failed_attempt failure{why.code, attempt_ran, is_repeatable(), attempt_number(m_attempts),
+    const failed_attempt failure{why.code, attempt_ran, is_repeatable(), attempt_number(attempts_made()),
                                  m_deadline};
     const retry_decision decision = policy.decide(failure, m_shared->budget_of(m_service->id), now());
     m_shared->count("parsleypitch_retry_decisions_total",
@@ -107,7 +107,7 @@
                                            {"decision", to_string(decision.reason)},
                                            {"failure", reason_name(why.code)},
                                            {"ran", to_string(attempt_ran)},
-                                           {"sends", m_attempts},
+                                           {"sends", attempts_made()},
                                            {"max_attempts", m_route->max_attempts},
                                            {"budget", m_shared->budget_of(m_service->id).available()}});
     return decision.reason;
@@ -229,7 +229,7 @@
                                     {"status", status},
                                     {"reason", reason},
                                     {"ran", to_string(m_ran)},
-                                    {"sends", m_attempts},
+                                    {"sends", attempts_made()},
                                     {"events", m_event_count},
                                     {"first_event_ms", m_first_event_after.value_or(duration::zero())},
                                     {"took_ms", elapsed()},
--- a/src/forwarding/forwarded_request_moves.cpp
+++ b/src/forwarding/forwarded_request_moves.cpp
@@ -12,7 +12,7 @@
         return;
     }
     const bool is_prefill = m_attempt->stage == attempt_stage::prefill;
-    if ((!is_repeatable() && !is_prefill) || m_attempts >= m_route->max_attempts) {
+    if ((!is_repeatable() && !is_prefill) || attempts_made() >= m_route->max_attempts) {
         return; // no further attempt will be possible, so keep waiting
     }
     if (const std::string_view reason = reason_to_stay(); !reason.empty()) {
@@ -81,7 +81,7 @@
     m_shared->count("parsleypitch_stream_waits_total", {{"route", m_route->id.str()}});
     m_shared->log->info("stream_waits", {{"request", m_call.id},
                                          {"reason", reason_name(why.code)},
-                                         {"sends", m_attempts},
+                                         {"sends", attempts_made()},
                                          {"events", m_event_count},
                                          {"time_left_ms", m_deadline - now()}});
     arm_resume_timer();
@@ -103,7 +103,7 @@
 placement_constraints forwarded_request::resume_constraints() const {
     placement_constraints limits = constraints();
     limits.only_with_room = true;
-    if (m_attempts >= m_route->max_attempts) {
+    if (attempts_made() >= m_route->max_attempts) {
         limits.excluded.clear();
         limits.allowed = m_reusable_servers;
     }
--- a/tests/unit-forwarder-silence.cpp
+++ b/tests/unit-forwarder-silence.cpp
@@ -238,4 +238,61 @@
     EXPECT_EQ(caller->status, 200U);
 }
 
+/// Attempts after which the route allows no further one, while other servers are idle.
+class last_attempt_fixture : public silent_server_fixture {};
+
+// Guards against streams that are cut because the last attempt of their route is ended for a silence that its
+// engine would end.
+TEST_F(last_attempt_fixture, silent_stream_on_its_last_attempt_is_kept_and_ends_complete) {
+    adopt(stream_route(2), {"d1", "d2", "d3"});
+    const auto caller = send_prompt();
+    respond(503, {{"not-run", "1"}}, "");
+    ASSERT_EQ(m_calls.size(), 2U);
+    begin_stream("id: 1\ndata: a\n\n");
+    advance_time(seconds(6));
+    EXPECT_FALSE(call().cancelled);
+    ASSERT_FALSE(caller->aborted);
+    call().hooks.body("id: 2\ndata: b\n\n");
+    call().hooks.end();
+    EXPECT_TRUE(caller->ended);
+    EXPECT_EQ(m_calls.size(), 2U);
+}
+
+// Guards against a route with one attempt whose streams are cut by each pause.
+TEST_F(last_attempt_fixture, silent_stream_of_a_route_with_one_attempt_is_kept) {
+    adopt(stream_route(1), {"d1", "d2"});
+    const auto caller = send_prompt();
+    advance_time(seconds(5));
+    EXPECT_FALSE(call().cancelled) << "before the first event";
+    begin_stream("id: 1\ndata: a\n\n");
+    advance_time(seconds(2));
+    EXPECT_FALSE(call().cancelled);
+    EXPECT_FALSE(caller->aborted);
+    EXPECT_EQ(m_calls.size(), 1U);
+}
+
+// Guards against an idempotent call whose only attempt is given up before its target.
+TEST_F(last_attempt_fixture, idempotent_call_of_a_route_with_one_attempt_is_kept) {
+    adopt(call_route(1), {}, {"p1", "p2"});
+    const auto caller = send("/r/1");
+    call();
+    advance_time(seconds(1));
+    respond_sealed("ok");
+    EXPECT_EQ(caller->status, 200U);
+    EXPECT_EQ(m_calls.size(), 1U);
+}
+
+// Guards against a prompt that is refused because its prefill, the only attempt, takes longer than expected.
+TEST_F(last_attempt_fixture, silent_prefill_of_a_route_with_one_attempt_is_kept) {
+    adopt(stream_route(1), {"d1", "d2", "f1"});
+    const auto caller = send("/r/1", {{"prompt", "20000"}, {"caller-timeout", "8000"}});
+    ASSERT_TRUE(call().has("stage: prefill"));
+    advance_time(seconds(5));
+    EXPECT_FALSE(call().cancelled);
+    respond(200, {}, "handle");
+    begin_stream("id: 1\ndata: a\n\n");
+    call().hooks.end();
+    EXPECT_TRUE(caller->ended);
+}
+
 } // namespace parsleypitch
