Bound what all servers, all callers and a list of the store buffer together

What operators reported: an engine sent bytes without end, the machine kept them and ran out of memory, and the requests of other clients ended with it.

Cause: limits held for each answer (4 MiB), partial event (1 MiB) and unsent response (8 MiB) by itself. A list of the store whose pages never say that they are the last one was kept whole.

Change: buffer_budget counts the bytes of many users; beyond its limit the user with the most bytes fails, so that small sound answers go on. Answers being collected, partial events and cache reports share 32 MiB, bodies of callers and what they have not read 64 MiB. A list of the store may have 64 MiB. A request whose caller is closed while an event is written to it no longer uses its ended attempt.

Not played: a whole serve process beside real engines; orders and releases still have no time limit of their own.

--- a/include/parsleypitch/core/units.hpp
+++ b/include/parsleypitch/core/units.hpp
@@ -3,6 +3,7 @@
 #include <parsleypitch/core/strong_type.hpp>
 
 #include <chrono>
+#include <string_view>
 
 namespace parsleypitch {
 
@@ -18,6 +19,10 @@
 using kv_block_count = quantity<struct kv_block_count_tag>;
 using request_count = quantity<struct request_count_tag>;
 
+[[nodiscard]] constexpr byte_count size_in_bytes(std::string_view bytes) noexcept {
+    return byte_count(static_cast<std::int64_t>(bytes.size()));
+}
+
 /// @brief Converts a duration to seconds as a floating-point number.
 [[nodiscard]] constexpr double to_seconds(duration d) noexcept {
     return std::chrono::duration<double>(d).count();
--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -29,6 +29,18 @@
     store_revision as_of;
 };
 
+/// @brief Most bytes of the objects of one list; a list that never names its last page would fill the memory.
+inline constexpr byte_count max_listed_size{67'108'864};
+
+/// @brief Bytes of the names and contents of a page.
+[[nodiscard]] inline byte_count size_in_bytes(const object_page& page) {
+    std::int64_t size = 0;
+    for (const directory_object& each : page.objects) {
+        size += size_in_bytes(each.name.str()).value() + size_in_bytes(each.content).value();
+    }
+    return byte_count(size);
+}
+
 /// @brief Update or removal of an object.
 struct object_event {
     directory_object object;
--- a/include/parsleypitch/forwarding/event_splitter.hpp
+++ b/include/parsleypitch/forwarding/event_splitter.hpp
@@ -27,6 +27,8 @@
     [[nodiscard]] std::vector<stream_event> feed(std::string_view bytes);
     /// @brief Whether bytes of an incomplete event are buffered.
     [[nodiscard]] bool has_partial_event() const noexcept { return !m_buffer.empty(); }
+    /// @brief Bytes of the incomplete event.
+    [[nodiscard]] byte_count buffered() const noexcept { return size_in_bytes(m_buffer); }
     /// @brief Whether the incomplete event is larger than any event of a sound server.
     [[nodiscard]] bool partial_event_is_too_large() const noexcept {
         return m_buffer.size() > static_cast<std::size_t>(max_event_size.value());
--- a/include/parsleypitch/forwarding/forwarder.hpp
+++ b/include/parsleypitch/forwarding/forwarder.hpp
@@ -78,6 +78,8 @@
     duration at_most_once_max_idle = milliseconds(1000);
     /// @brief A request is answered this long before its deadline, so that the response arrives in time.
     duration deadline_margin = milliseconds(20);
+    /// @brief Bytes of answers of all servers that may be buffered together until the answers are complete.
+    byte_count max_collected{33'554'432};
 };
 
 /// @brief Forwards requests of callers to backend servers; all calls happen on the traffic thread.
--- a/include/parsleypitch/http/parser.hpp
+++ b/include/parsleypitch/http/parser.hpp
@@ -39,6 +39,8 @@
 
     [[nodiscard]] bool head_complete() const noexcept;
     [[nodiscard]] bool complete() const noexcept;
+    /// @brief Bytes of the body that have been parsed.
+    [[nodiscard]] byte_count body_size() const noexcept;
     /// @brief Whether the client waits for `100 Continue` before it sends the body.
     [[nodiscard]] bool expects_continue() const;
     /// @brief Why the request was refused; valid once `parse` has failed.
--- a/include/parsleypitch/http/server.hpp
+++ b/include/parsleypitch/http/server.hpp
@@ -26,6 +26,10 @@
     byte_count max_unsent{8'388'608};
 };
 
+/// @brief Most bytes of requests and responses that all connections of a server buffer together; beyond that
+/// the connection with the most bytes is closed.
+inline constexpr byte_count max_server_buffers{67'108'864};
+
 /// @brief A request together with its response; to be used on the thread of the server only.
 ///
 /// A response is sent either by one `respond`, or by `begin`, any number of `write`, and `end`. After
--- a/include/parsleypitch/serving/serving_peers.hpp
+++ b/include/parsleypitch/serving/serving_peers.hpp
@@ -91,6 +91,7 @@
     std::function<object_handle(const object_key&)> m_host_entry;
     object_source m_hosts;
     std::vector<listed_host> m_listed;
+    byte_count m_listed_size;
     stale_host_finder m_stale_host_finder;
     bool m_check_scheduled = false;
     bool m_stopped = false;
--- a/src/forwarding/cache_poller.cpp
+++ b/src/forwarding/cache_poller.cpp
@@ -83,6 +83,7 @@
     }
     struct pending_query {
         std::string body;
+        buffer_budget::share collected;
         http::call_handle call;
         timer_cancel timeout;
         unsigned status = 0;
@@ -102,7 +103,10 @@
         state->status = head.status;
         shared->note_conditions(id, head);
     };
-    hooks.body = [state](const std::string& part) { state->body.append(part); };
+    hooks.body = [state](const std::string& part) {
+        state->body.append(part);
+        (void)state->collected.set(size_in_bytes(state->body));
+    };
     hooks.end = [self, state, id] {
         constexpr unsigned status_ok = 200;
         state->timeout();
@@ -118,6 +122,14 @@
         self->on_query_failed(id, reason_name(why.code));
         self->schedule_query(id);
     };
+    state->collected = m_shared->collected.open([self, weak = std::weak_ptr(state), id] {
+        if (const auto revoked = weak.lock()) {
+            revoked->call.cancel();
+            revoked->timeout();
+            self->on_query_failed(id, "memory_limit");
+            self->schedule_query(id);
+        }
+    });
     state->timeout =
         m_shared->hooks.start_timer(cache_long_poll_wait + cache_query_timeout_margin, [self, state, id] {
             state->call.cancel();
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -196,6 +196,11 @@
         m_shared->hooks.report_pending();
     }
     m_attempt = std::move(next);
+    m_attempt->collected = m_shared->collected.open([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_buffer_revoked();
+        }
+    });
     if (timeout) {
         arm_attempt_timer(*timeout);
     }
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -4,6 +4,7 @@
 
 #include <parsleypitch/admission/generation_admission.hpp>
 #include <parsleypitch/admission/held_requests.hpp>
+#include <parsleypitch/core/buffer_budget.hpp>
 #include <parsleypitch/forwarding/event_splitter.hpp>
 
 namespace parsleypitch {
@@ -50,6 +51,8 @@
         http::response_head head;
         response_metadata metadata;
         std::string body;
+        /// The bytes of the answer that are buffered here.
+        buffer_budget::share collected;
         http::call_handle call;
     };
 
@@ -77,6 +80,8 @@
     /// Corrects the estimates for the server of the current attempt after its prefill.
     void note_prefill_ended(double took_ms);
     void on_stream_part(const std::string& part);
+    /// Fails the current attempt because the answers of all servers need too much memory.
+    void on_buffer_revoked();
     void forward_events(const std::string& events);
 
     // Moves to another server
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -55,7 +55,14 @@
     if (m_attempt->body.size() > static_cast<std::size_t>(http::call_options{}.max_body.value())) {
         m_attempt->call.cancel();
         on_failed(fail(errc::backend_broken, "response body exceeds the size limit"));
+        return;
     }
+    (void)m_attempt->collected.set(size_in_bytes(m_attempt->body));
+}
+
+void forwarded_request::on_buffer_revoked() {
+    m_attempt->call.cancel();
+    on_failed(fail(errc::backend_broken, "responses of all servers together exceed the memory limit"));
 }
 
 void forwarded_request::on_stream_part(const std::string& part) {
@@ -89,11 +96,16 @@
     if (!out.empty()) {
         forward_events(out);
     }
+    if (m_finished) {
+        return; // the connection of the caller was closed because it does not read
+    }
     // Events before the fault are already counted as sent, so they are forwarded first.
     if (broken) {
         m_attempt->call.cancel();
         on_failed(*broken);
+        return;
     }
+    (void)m_attempt->collected.set(m_events.buffered());
 }
 
 void forwarded_request::forward_events(const std::string& events) {
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -71,6 +71,7 @@
     m_state->protocol = std::move(protocol);
     m_state->hooks = std::move(hooks);
     m_state->policy = policy;
+    m_state->collected = buffer_budget(policy.max_collected);
     m_state->zone = std::move(zone);
     m_state->lag = configuration_lag(m_state->hooks.now());
     m_state->log = std::move(log);
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <parsleypitch/core/buffer_budget.hpp>
 #include <parsleypitch/forwarding/configuration_lag.hpp>
 #include <parsleypitch/forwarding/crash_quarantine.hpp>
 #include <parsleypitch/forwarding/engine_speed.hpp>
@@ -38,6 +39,8 @@
     std::map<backend_service_id, service_knowledge> services;
     std::shared_ptr<crash_detector> crashes;
     crash_quarantine quarantine;
+    /// Bytes of answers that are not complete, of all servers together.
+    buffer_budget collected{forwarding_policy{}.max_collected};
     timer_cancel quarantine_report_timer;
     std::size_t entry_hosts = assumed_entry_hosts;
     bool refusing_requests = false;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -170,6 +170,9 @@
 bool request_parser::complete() const noexcept {
     return m_state->parser.is_done();
 }
+byte_count request_parser::body_size() const noexcept {
+    return byte_count(static_cast<std::int64_t>(m_state->parser.body_size));
+}
 
 bool request_parser::expects_continue() const {
     const std::string* expectation = m_state->parser.head.headers.find("expect");
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "net/address.hpp"
 
+#include <parsleypitch/core/buffer_budget.hpp>
 #include <parsleypitch/http/server.hpp>
 
 #include <asio/io_context.hpp>
@@ -52,6 +53,7 @@
     request_handler handler;
     parse_error_responder respond_to_parse_error;
     server_limits limits;
+    buffer_budget buffers{max_server_buffers};
     bool draining = false;
     bool closed_to_new_connections = false;
     bool stopped = false;
@@ -69,6 +71,11 @@
         : m_socket(std::move(socket)), m_owner(std::move(owner)) {}
 
     void start() {
+        m_buffered = m_owner->buffers.open([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->close();
+            }
+        });
         m_deadline = std::chrono::steady_clock::now() + m_owner->limits.idle_timeout;
         read();
     }
@@ -98,6 +105,9 @@
     void dispatch();
     void write();
     void linger();
+    /// Counts the bytes that this connection buffers.
+    /// @return false if that closed the connection
+    [[nodiscard]] bool count_buffers();
 
     tcp::socket m_socket;
     std::shared_ptr<server::state> m_owner;
@@ -107,6 +117,9 @@
     bool m_read_pending = false;
     std::string m_input;
     std::optional<request_parser> m_parser;
+    buffer_budget::share m_buffered;
+    /// Body of the request that is being answered; its handler may keep it until then.
+    byte_count m_request_body;
     bool m_continue_sent = false;
     bool m_keep_alive = true;
     std::shared_ptr<server_exchange> m_exchange;
@@ -202,7 +215,18 @@
         m_input.append(m_buffer.data(), bytes);
         parse();
     }
-    read();
+    if (count_buffers()) {
+        read();
+    }
+}
+
+bool server_connection::count_buffers() {
+    if (m_phase == phase::closed) {
+        return false;
+    }
+    const byte_count parsed = m_parser ? m_parser->body_size() : m_request_body;
+    const std::size_t queued = m_input.size() + m_output.size() + m_writing.size();
+    return m_buffered.set(byte_count(parsed.value() + static_cast<std::int64_t>(queued)));
 }
 
 void server_connection::parse() {
@@ -248,6 +272,7 @@
 }
 
 void server_connection::dispatch() {
+    m_request_body = m_parser->body_size();
     request message = m_parser->take();
     m_parser.reset();
     m_keep_alive = message.keep_alive;
@@ -267,6 +292,7 @@
         return;
     }
     write();
+    (void)count_buffers();
 }
 
 void server_connection::write() {
@@ -282,6 +308,7 @@
                               return;
                           }
                           self->write();
+                          (void)self->count_buffers();
                           if (self->m_close_after_write && self->m_writing.empty()) {
                               self->linger();
                           }
@@ -290,6 +317,7 @@
 
 void server_connection::finish(bool keep_alive) {
     m_exchange.reset();
+    m_request_body = byte_count();
     if (m_phase == phase::closed) {
         return;
     }
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -29,7 +29,12 @@
         status = begun.status;
         head = begun;
     }
-    void write(std::string_view part) override { body.append(part); }
+    void write(std::string_view part) override {
+        body.append(part);
+        if (closes_at_write) {
+            disconnect();
+        }
+    }
     void end() override {
         ++final_responses;
         ended = true;
@@ -48,6 +53,8 @@
     bool streaming = false;
     bool ended = false;
     bool aborted = false;
+    /// Closes the connection at the next part, as the server does with a caller that does not read.
+    bool closes_at_write = false;
 
   private:
     http::request m_message;
--- a/tests/unit-forwarder-streams.cpp
+++ b/tests/unit-forwarder-streams.cpp
@@ -104,6 +104,23 @@
     EXPECT_TRUE(caller->aborted);
 }
 
+// Guards against a process that ends when a caller that does not read is closed while an event is written to
+// it.
+TEST_F(stream_forwarder_fixture, caller_that_is_closed_within_an_event_ends_its_request) {
+    for (const std::string& events :
+         {std::string("id: 2\ndata: b\n\n"), std::string("id: 2\ndata: b\n\nid: 4\n\n")}) {
+        m_calls.clear();
+        SetUp();
+        const auto caller = send_prompt("/resume/1");
+        begin_stream("id: 1\ndata: a\n\n");
+        caller->closes_at_write = true;
+        const http::call_hooks hooks = call().hooks;
+        hooks.body(events);
+        EXPECT_TRUE(call().cancelled);
+        EXPECT_EQ(m_forwarder->open_requests(), 0U);
+    }
+}
+
 // Guards against callers that wait for an engine that has stopped sending.
 TEST_F(stream_forwarder_fixture, stalled_resumable_stream_resumes_at_another_engine) {
     const auto caller = send_prompt("/resume/1");
--- a/tests/unit-http-endless.cpp
+++ b/tests/unit-http-endless.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -167,4 +168,87 @@
                       "4\r\nbody\r\n"}),
     [](const auto& kind) { return kind.param.name; });
 
+/// Many callers whose bytes together are larger than the memory of an entry host.
+class many_callers_fixture : public testing::Test {
+  protected:
+    static constexpr std::size_t callers = 50;
+    static constexpr std::size_t bytes_each = 4'000'000;
+    static constexpr std::size_t max_memory_growth = 150'000'000;
+
+    void SetUp() override {
+        {
+            tcp::acceptor probe(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+            m_port = probe.local_endpoint().port();
+        }
+        ASSERT_TRUE(m_server.listen(endpoint("127.0.0.1:" + std::to_string(m_port))));
+        m_before = resident_bytes();
+    }
+    static response answer(exchange& call) {
+        response made;
+        made.head.status = 200;
+        made.body.assign(call.message().target == "/large" ? bytes_each : 2, 'x');
+        return made;
+    }
+    tcp::socket connect() {
+        tcp::socket socket(m_context);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
+        return socket;
+    }
+    void run_for(milliseconds time) {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+    /// Writes without waiting for the server, whose thread this is.
+    void write(tcp::socket& socket, std::string bytes) {
+        socket.non_blocking(true);
+        for (int turn = 0; turn < 100'000 && !bytes.empty(); ++turn) {
+            std::error_code code;
+            bytes.erase(0, socket.write_some(asio::buffer(bytes), code));
+            if (code && code != asio::error::would_block) {
+                return;
+            }
+            m_context.restart();
+            m_context.poll();
+        }
+    }
+    void expect_small_request_is_answered() {
+        tcp::socket sound = connect();
+        write(sound, "GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_for(milliseconds(50));
+        std::array<char, 64> start{};
+        std::error_code code;
+        const std::size_t bytes = sound.read_some(asio::buffer(start), code);
+        EXPECT_EQ(std::string(start.data(), std::min<std::size_t>(bytes, 12)), "HTTP/1.1 200");
+    }
+
+    asio::io_context m_context;
+    unsigned short m_port = 0;
+    server m_server{m_context, [](const std::shared_ptr<exchange>& call) { call->respond(answer(*call)); },
+                    [](parse_error) { return response{}; }};
+    std::vector<tcp::socket> m_callers;
+    std::size_t m_before = 0;
+};
+
+// Guards against a process that runs out of memory because of many bodies, each below its own limit.
+TEST_F(many_callers_fixture, bodies_that_never_end_are_bounded_together) {
+    for (std::size_t i = 0; i < callers; ++i) {
+        m_callers.push_back(connect());
+        write(m_callers.back(), "POST /small HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\n" +
+                                    std::string(bytes_each, 'x'));
+    }
+    EXPECT_LT(resident_bytes(), m_before + max_memory_growth);
+    expect_small_request_is_answered();
+}
+
+// Guards against a process that runs out of memory because many callers do not read their answers.
+TEST_F(many_callers_fixture, answers_that_nobody_reads_are_bounded_together) {
+    for (std::size_t i = 0; i < callers; ++i) {
+        m_callers.push_back(connect());
+        write(m_callers.back(), "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_for(milliseconds(5));
+    }
+    EXPECT_LT(resident_bytes(), m_before + max_memory_growth);
+    expect_small_request_is_answered();
+}
+
 } // namespace parsleypitch::http
--- a/tests/unit-kind-watcher.cpp
+++ b/tests/unit-kind-watcher.cpp
@@ -205,4 +205,25 @@
     EXPECT_EQ(m_listed, std::vector<std::size_t>{2});
 }
 
+// Guards against a store whose list never names its last page: the host would keep all objects and run out of
+// memory.
+TEST_F(kind_watcher_fixture, list_without_end_is_given_up_and_begun_again) {
+    constexpr std::size_t object_size = 1'000'000;
+    constexpr unsigned most_pages = 100;
+    unsigned pages = 0;
+    while (m_failures.empty() && pages < most_pages) {
+        object_page endless = page({}, true, 7);
+        const object_key name("n" + std::to_string(1000 + ++pages));
+        endless.objects.push_back({name, revision(1), std::string(object_size, 'x')});
+        endless.last = name;
+        answer(std::move(endless));
+    }
+    ASSERT_EQ(m_failures, std::vector<std::error_code>{errc::platform_protocol});
+    EXPECT_TRUE(m_listed.empty());
+    run_scheduled();
+    EXPECT_EQ(m_lists.back(), "");
+    answer(page({"a"}, false, 8));
+    EXPECT_EQ(m_listed, std::vector<std::size_t>{1});
+}
+
 } // namespace parsleypitch
