--- a/include/parsleypitch/directory/kind_watcher.hpp
+++ b/include/parsleypitch/directory/kind_watcher.hpp
@@ -68,7 +68,7 @@
     /// Number of the current call; answers to earlier calls are dropped.
     std::uint64_t m_call = 0;
     std::vector<directory_object> m_listed_objects;
-    byte_count m_listed_size;
+    listed_size m_listed_size;
     bool m_first_page = true;
     /// Store revision up to which all changes are known. While listing, this is the revision of the first
     /// page: changes made between two pages are then reported by the watch.
--- a/include/parsleypitch/directory/object_source.hpp
+++ b/include/parsleypitch/directory/object_source.hpp
@@ -29,17 +29,27 @@
     store_revision as_of;
 };
 
-/// @brief Most bytes of the objects of one list; a list that never names its last page would fill the memory.
+/// @brief Most bytes of the names and contents of one list.
 inline constexpr byte_count max_listed_size{67'108'864};
 
-/// @brief Bytes of the names and contents of a page.
-[[nodiscard]] inline byte_count size_in_bytes(const object_page& page) {
-    std::int64_t size = 0;
-    for (const directory_object& each : page.objects) {
-        size += size_in_bytes(each.name.str()).value() + size_in_bytes(each.content).value();
+/// @brief Counts the bytes of a list while its pages are read. A list that never names its last page would
+/// otherwise fill the memory.
+class listed_size {
+  public:
+    void reset() noexcept { m_size = byte_count(); }
+    /// @return false if the list exceeds `max_listed_size`
+    [[nodiscard]] bool add(const object_page& page) {
+        std::int64_t size = m_size.value();
+        for (const directory_object& each : page.objects) {
+            size += size_in_bytes(each.name.str()).value() + size_in_bytes(each.content).value();
+        }
+        m_size = byte_count(size);
+        return m_size <= max_listed_size;
     }
-    return byte_count(size);
-}
+
+  private:
+    byte_count m_size;
+};
 
 /// @brief Update or removal of an object.
 struct object_event {
--- a/include/parsleypitch/forwarding/route_table.hpp
+++ b/include/parsleypitch/forwarding/route_table.hpp
@@ -39,8 +39,7 @@
     duration timeout = milliseconds(30'000);
     /// @brief Target for the time to the response, for streams to the first event.
     duration target_latency = milliseconds(1000);
-    /// @brief Longest time without an event of a stream, also before its first one, after which callers still
-    /// wait.
+    /// @brief Longest time without an event, also before the first one, for which callers of a stream wait.
     duration max_event_gap = milliseconds(2000);
     /// @brief Priority of the route, 0 is the most urgent.
     unsigned urgency = 0;
--- a/include/parsleypitch/serving/serving_peers.hpp
+++ b/include/parsleypitch/serving/serving_peers.hpp
@@ -50,6 +50,7 @@
   public:
     /// @param report_address address at which this host receives load reports; if empty, the host is not
     /// listed
+    /// @param check_period interval of the checks of the list
     explicit serving_peers(endpoint report_address, duration check_period = host_list_check_period)
         : m_report_address(std::move(report_address)), m_check_period(check_period) {}
 
@@ -91,7 +92,7 @@
     std::function<object_handle(const object_key&)> m_host_entry;
     object_source m_hosts;
     std::vector<listed_host> m_listed;
-    byte_count m_listed_size;
+    listed_size m_listed_size;
     stale_host_finder m_stale_host_finder;
     bool m_check_scheduled = false;
     bool m_stopped = false;
--- a/include/parsleypitch/serving/serving_quarantine.hpp
+++ b/include/parsleypitch/serving/serving_quarantine.hpp
@@ -71,7 +71,7 @@
     std::function<object_handle(const object_key&)> m_record;
     /// Names of the records read in the current or last reading.
     std::set<object_key> m_recorded;
-    byte_count m_listed_size;
+    listed_size m_listed_size;
     /// Set while missing records have to be written after the current reading.
     bool m_write_missing = false;
     bool m_stopped = false;
--- a/src/directory/kind_watcher.cpp
+++ b/src/directory/kind_watcher.cpp
@@ -7,7 +7,7 @@
 void kind_watcher::list_from(const object_key& after) {
     if (after.empty()) {
         m_listed_objects.clear();
-        m_listed_size = byte_count();
+        m_listed_size.reset();
         m_first_page = true;
     }
     m_source.list(after, [self = shared_from_this(), after, call = ++m_call](result<object_page> page) {
@@ -52,8 +52,7 @@
     if (std::exchange(m_first_page, false)) {
         m_revision = page.value().as_of;
     }
-    m_listed_size = byte_count(m_listed_size.value() + size_in_bytes(page.value()).value());
-    if (m_listed_size > max_listed_size) {
+    if (!m_listed_size.add(page.value())) {
         m_listed_objects.clear();
         retry(fail(errc::platform_protocol, "list: the objects exceed the size limit"),
               [this] { list_from(object_key()); });
--- a/src/serving/serving_peers.cpp
+++ b/src/serving/serving_peers.cpp
@@ -78,32 +78,31 @@
 void serving_peers::read_list(const object_key& after, std::function<void()> done) {
     if (after.empty()) {
         m_listed.clear();
-        m_listed_size = byte_count();
+        m_listed_size.reset();
     }
-    m_hosts.list(after, [self = shared_from_this(), after,
-                         done = std::move(done)](const result<object_page>& page) {
-        if (!page) {
-            self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); }, page.error());
-            return;
-        }
-        self->m_listed_size = byte_count(self->m_listed_size.value() + size_in_bytes(page.value()).value());
-        if (self->m_listed_size > max_listed_size) {
-            self->m_listed.clear();
-            self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); },
-                        fail(errc::platform_protocol, "list: the entries exceed the size limit"));
-            return;
-        }
-        for (const directory_object& object : page.value().objects) {
-            if (const auto report_address = decode_host(object.content)) {
-                self->m_listed.push_back({object.name, object.revision, *report_address});
+    m_hosts.list(
+        after, [self = shared_from_this(), after, done = std::move(done)](const result<object_page>& page) {
+            if (!page) {
+                self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); }, page.error());
+                return;
             }
-        }
-        if (page.value().has_more && !page.value().last.empty() && page.value().last != after) {
-            self->read_list(page.value().last, done);
-            return;
-        }
-        done();
-    });
+            if (!self->m_listed_size.add(page.value())) {
+                self->m_listed.clear();
+                self->retry([raw = self.get(), done] { raw->read_list(object_key(), done); },
+                            fail(errc::platform_protocol, "list: the entries exceed the size limit"));
+                return;
+            }
+            for (const directory_object& object : page.value().objects) {
+                if (const auto report_address = decode_host(object.content)) {
+                    self->m_listed.push_back({object.name, object.revision, *report_address});
+                }
+            }
+            if (page.value().has_more && !page.value().last.empty() && page.value().last != after) {
+                self->read_list(page.value().last, done);
+                return;
+            }
+            done();
+        });
 }
 
 void serving_peers::add_listed_peers() {
--- a/src/serving/serving_quarantine.cpp
+++ b/src/serving/serving_quarantine.cpp
@@ -122,7 +122,7 @@
 void serving_quarantine::read(const object_key& after) {
     if (after.empty()) {
         m_recorded.clear();
-        m_listed_size = byte_count();
+        m_listed_size.reset();
     }
     m_records.list(after, [self = shared_from_this(), after](const result<object_page>& page) {
         if (!page) {
@@ -135,8 +135,7 @@
 
 void serving_quarantine::on_page(const object_key& after, const object_page& page) {
     adopt(page.objects);
-    m_listed_size = byte_count(m_listed_size.value() + size_in_bytes(page).value());
-    if (m_listed_size > max_listed_size) {
+    if (!m_listed_size.add(page)) {
         m_log->warning("quarantine_records_not_read", {{"reason", "the records exceed the size limit"}});
         return;
     }
