End orders and releases of KV caches whose answers do not come in time

Cause: calls that send an order or free a KV cache had no time limit.

Change: call_options::timeout ends a call whose response is not complete in time; orders get 5 s and releases 2 s. An order without an answer may have been accepted, as before.

Tests: http_client_fixture.call_without_a_complete_response_in_time_* is about the new option.

--- a/include/parsleypitch/http/client.hpp
+++ b/include/parsleypitch/http/client.hpp
@@ -61,6 +61,9 @@
     std::size_t max_connections = 15;
     /// @brief Largest response body; a call whose hooks collect the body needs a limit.
     byte_count max_body{4'194'304};
+    /// @brief Longest time from writing the request to the end of the response; the call then fails with
+    /// `backend_silent`. Calls with a timer of their own need none.
+    duration timeout = duration::max();
 };
 
 /// @brief Handle of a running call; destroying the handle does not cancel the call.
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -12,6 +12,9 @@
 /// to be the cause than to have been beside it.
 constexpr unsigned max_losses = 2;
 
+/// Time for an engine's answer to the release of a KV cache, which ends by itself soon after.
+constexpr milliseconds release_timeout{2000};
+
 void forwarded_request::finish_attempt(std::optional<attempt_result> result) {
     if (m_attempt_timer) {
         m_attempt_timer();
@@ -203,7 +206,9 @@
     hooks.failed = [log = m_shared->log, id = m_call.id](const error& why) {
         log->warning("kv_release_failed", {{"request", id}, {"reason", why.detail}});
     };
-    (void)m_shared->hooks.start_call(source.engine, http::serialize(message), {}, std::move(hooks));
+    http::call_options options;
+    options.timeout = release_timeout;
+    (void)m_shared->hooks.start_call(source.engine, http::serialize(message), options, std::move(hooks));
 }
 
 void forwarded_request::finish_request(std::string_view outcome, unsigned status, std::string_view reason) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -68,6 +68,7 @@
     }
 
   private:
+    void arm_call_timer();
     void write();
     void read();
     void on_read(const std::error_code& code, std::size_t bytes);
@@ -84,6 +85,8 @@
     bool m_closed = false;
     bool m_connected = false;
     bool m_call_active = false;
+    /// Number of calls on this connection, by which the timer of an earlier one is told.
+    std::uint64_t m_calls = 0;
     bool m_read_pending = false;
     bool m_request_written = false;
     bool m_head_reported = false;
@@ -143,6 +146,7 @@
 
 void client_connection::call(std::string bytes, call_options options, call_hooks hooks) {
     m_call_active = true;
+    ++m_calls;
     m_request_written = false;
     m_head_reported = false;
     m_is_unrelated_response = false;
@@ -157,10 +161,23 @@
     if (m_closed) { // the hook cancelled the call
         return;
     }
+    if (m_options.timeout != duration::max()) {
+        arm_call_timer();
+    }
     write();
     read();
 }
 
+void client_connection::arm_call_timer() {
+    m_timer.expires_after(m_options.timeout);
+    m_timer.async_wait([self = shared_from_this(), call = m_calls](const std::error_code& cancelled) {
+        if (!cancelled && self->m_call_active && self->m_calls == call) {
+            self->fail_call(
+                fail(errc::backend_silent, self->m_endpoint.str() + ": no complete response in time"));
+        }
+    });
+}
+
 void client_connection::write() {
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self = shared_from_this()](const std::error_code& code, std::size_t) {
@@ -282,6 +299,7 @@
     }
     const call_hooks hooks = std::exchange(m_hooks, {});
     m_call_active = false;
+    m_timer.cancel();
     m_idle_since = std::chrono::steady_clock::now();
     if (reusable && expires_at() > m_idle_since) {
         m_owner->pools[m_endpoint].idle.push_back(shared_from_this());
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -12,6 +12,8 @@
 /// Interval at which hosts that do not hold the lease read it. These are stale reads, which cost a tenth of a
 /// normal read.
 constexpr milliseconds lease_read_period{3000};
+/// Time for an engine's answer to an order. An order without an answer may have been accepted.
+constexpr milliseconds order_timeout{5000};
 /// Delay before the next call after one that failed.
 constexpr milliseconds retry_delay{1000};
 
@@ -250,6 +252,7 @@
     // Orders use a new connection: on a reused one an order could be delayed behind a blocked write.
     http::call_options options;
     options.max_idle_time = duration::zero();
+    options.timeout = order_timeout;
     *handle = m_client->start(change.address, http::serialize(message), options, std::move(hooks));
 }
 
--- a/tests/unit-http-connections.cpp
+++ b/tests/unit-http-connections.cpp
@@ -450,6 +450,32 @@
     EXPECT_EQ(m_events, "sent ");
 }
 
+// Guards against connections that are kept for ever by a server that never ends its response, and against the
+// timeout of one call that ends the next one on its connection.
+TEST_F(http_client_fixture, call_without_a_complete_response_in_time_fails_and_a_later_one_is_unharmed) {
+    call_options options;
+    options.timeout = milliseconds(200);
+    start("GET / HTTP/1.1\r\n\r\n", options);
+    run();
+    tcp::socket server_side = accept();
+    send(server_side, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    run(milliseconds(100));
+    start(); // without a timeout, on the same connection
+    run(milliseconds(300));
+    send(server_side, "HTTP/1.1 204 No\r\n\r\n");
+    run();
+    EXPECT_EQ(m_events, "sent 200 end sent 204 end ");
+    m_events.clear();
+    start("GET / HTTP/1.1\r\n\r\n", options);
+    for (int part = 0; part < 10; ++part) {
+        run(milliseconds(30));
+        std::error_code ignored; // the client closes the connection meanwhile
+        asio::write(server_side, asio::buffer(std::string(part == 0 ? "HTTP/1.1 200 OK\r\nA: b" : "b")),
+                    ignored);
+    }
+    EXPECT_EQ(m_events, "sent backend_silent ");
+}
+
 // Guards against sending a request on a connection that the server is about to close.
 TEST_F(http_client_fixture, connection_near_its_keep_alive_timeout_is_not_reused) {
     start();
