Play endless answers of many servers against a real host

The shared limit of collected answers was played within the test process only. Six plain servers of the soak now answer with 4.1 MB that neither end nor go on, at 150 requests a second in all; the peak memory of the host is read from outside, and its streams go on.

--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -14,6 +14,10 @@
 using nlohmann::json;
 namespace names = platform::names;
 
+/// Just below the limit of 4 MiB that the hosts have for one answer.
+constexpr std::size_t endless_answer_size = 4'100'000;
+constexpr std::size_t endless_answer_part = 131'072;
+constexpr milliseconds endless_answer_period{10};
 constexpr milliseconds heartbeat_period{1200};
 constexpr int missed_heartbeats_to_expire = 3;
 constexpr milliseconds event_gap{15};
@@ -298,12 +302,27 @@
         } else if (occurs(condition.failure_percent)) {
             finish(active, status_failed);
             respond(active->exchange, status_failed, "failed", sealed(id));
+        } else if (occurs(condition.endless_answer_percent)) {
+            http::response_head head;
+            head.status = status_ok;
+            head.headers = sealed(id);
+            active->exchange->begin(head);
+            continue_endless_answer(active, endless_answer_size);
         } else {
             finish(active, status_ok);
             respond(active->exchange, status_ok, plain_answer(id), sealed(id));
         }
     }
 
+    void continue_endless_answer(const active_request_ptr& active, std::size_t left) {
+        const std::size_t part = std::min(left, endless_answer_part);
+        active->exchange->write(std::string(part, 'x'));
+        if (left > part) {
+            run_after(active, endless_answer_period,
+                      [this, active, left, part] { continue_endless_answer(active, left - part); });
+        }
+    }
+
     void begin_stream(const active_request_ptr& active) {
         if (occurs(condition.failure_percent)) {
             finish(active, status_failed);
--- a/soak/engine_stand_in.hpp
+++ b/soak/engine_stand_in.hpp
@@ -36,6 +36,9 @@
     /// @brief Answers with the id of another request.
     std::uint64_t foreign_answer_percent = 0;
     std::uint64_t hang_percent = 0;
+    /// @brief Answers of plain services that go on until they are just below the limit of one answer, and
+    /// then neither end nor go on.
+    std::uint64_t endless_answer_percent = 0;
     /// @brief Factor applied to all processing times.
     std::uint64_t slowdown_factor = 1;
     /// @brief Time that refusals ask the host to stay away; zero if they name none.
--- a/soak/host_processes.cpp
+++ b/soak/host_processes.cpp
@@ -144,6 +144,17 @@
     return m_hosts[host].process.has_value();
 }
 
+byte_count host_processes::peak_memory(std::size_t host) const {
+    std::ifstream status("/proc/" + std::to_string(m_hosts[host].process->id()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            constexpr std::int64_t bytes_per_kilobyte = 1024;
+            return byte_count(std::stoll(line.substr(line.find(':') + 1)) * bytes_per_kilobyte);
+        }
+    }
+    return byte_count();
+}
+
 void host_processes::kill(std::size_t host, duration restart_delay) {
     entry_host& entry = m_hosts[host];
     if (entry.process) {
--- a/soak/host_processes.hpp
+++ b/soak/host_processes.hpp
@@ -37,6 +37,8 @@
     /// @brief Rewrites the settings file and sends SIGHUP.
     void reload(std::size_t host);
     [[nodiscard]] bool running(std::size_t host) const;
+    /// @brief Most memory that the running process of a host has had resident.
+    [[nodiscard]] byte_count peak_memory(std::size_t host) const;
 
   private:
     struct entry_host {
--- a/tests/unit-soak-processes.cpp
+++ b/tests/unit-soak-processes.cpp
@@ -11,6 +11,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <thread>
 
 namespace parsleypitch::soak {
@@ -129,6 +130,43 @@
     EXPECT_GT(report.value().requests, 0U);
 }
 
+// Guards against a host that runs out of memory, with the requests of all its callers, because many answers
+// that never end are each below their limit.
+TEST_F(serve_process_fixture, host_under_endless_answers_keeps_within_its_memory_and_serves_streams) {
+    constexpr byte_count host_memory{260'000'000};
+    m_plan.entry_hosts = 1;
+    m_plan.plain_engines = 6;
+    m_plan.requests_per_second = 150;
+    start();
+    m_traffic->run([](soak_traffic::testbed& bed) {
+        for (const auto& engine : bed.engines) {
+            if (!engine->plan().role) {
+                engine->set({.endless_answer_percent = 100});
+            }
+        }
+    });
+    const time_point endless_since = std::chrono::steady_clock::now();
+    wait(milliseconds(6000));
+    std::promise<byte_count> peak;
+    m_kernel->post_control([this, &peak] { peak.set_value(m_hosts->peak_memory(0)); });
+    const byte_count used = peak.get_future().get();
+    EXPECT_GT(used, byte_count(0)) << "the host has ended";
+    EXPECT_LT(used, host_memory);
+    (void)finish();
+    std::size_t streams = 0;
+    std::size_t served = 0;
+    m_traffic->run([&](soak_traffic::testbed& bed) {
+        for (const auto& [id, request] : bed.observed.requests) {
+            const bool counts = request.kind == request_kind::stream && request.sent > endless_since &&
+                                !request.caller_disconnected_at;
+            streams += counts ? 1 : 0;
+            served += counts && request.served() ? 1 : 0;
+        }
+    });
+    EXPECT_GT(streams, 0U);
+    EXPECT_GE(static_cast<double>(served), 0.9 * static_cast<double>(streams));
+}
+
 /// A seed whose run has failed before, with the cause.
 struct regression_seed {
     std::uint64_t seed = 0;
