--- a/tests/unit-forwarder-silence.cpp
+++ b/tests/unit-forwarder-silence.cpp
@@ -203,7 +203,7 @@
     EXPECT_EQ(m_calls.size(), 2U);
 }
 
-// Guards against a stream that is cut because the engine to which it moved turned out to be full, and against
+// Guards against a stream that is cut because the engine to which it moved is full, and against
 // more engines than the route allows.
 TEST_F(silent_server_fixture, stream_refused_by_its_last_engine_goes_on_at_one_that_it_has_used) {
     adopt(stream_route(2), {"d1", "d2"});
