--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hpp
@@ -380,6 +380,32 @@
         const std::lock_guard lock(m_mutex);
         erase(kind, name);
     }
+    /// Keeps a copy for a later drill.
+    void make_copy() {
+        const std::lock_guard lock(m_mutex);
+        m_copy = {m_objects, m_history, m_revision};
+    }
+    /// The store goes away: its connections are closed, and new ones too.
+    void go_away() {
+        const std::lock_guard lock(m_mutex);
+        m_away = true;
+        for (const int fd : m_connections) {
+            ::shutdown(fd, SHUT_RDWR);
+        }
+        m_changed.notify_all();
+    }
+    /// The store comes back from the copy. What the operator wrote since is written again at once; what the
+    /// engines wrote is theirs to write again.
+    void come_back() {
+        const std::lock_guard lock(m_mutex);
+        const json configuration = m_objects["config"]["main"].spec;
+        m_objects = m_copy.objects;
+        m_history = m_copy.history;
+        m_revision = m_copy.revision;
+        ++m_era;
+        change("config", "main", configuration);
+        m_away = false;
+    }
 
   private:
     struct object {
@@ -430,15 +456,39 @@
     }
 
     void serve(int fd) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_away) {
+                return;
+            }
+            m_connections.insert(fd);
+        }
+        answer_calls(fd);
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(fd);
+    }
+
+    void answer_calls(int fd) {
         reader in(fd);
         while (true) {
             const message call = read_message(in, false);
             if (!call.complete) {
                 return;
             }
+            std::uint64_t era = 0;
+            {
+                const std::lock_guard lock(m_mutex);
+                era = m_era;
+            }
             const auto [status, body] = handle(call);
+            {
+                const std::lock_guard lock(m_mutex);
+                if (m_away || era != m_era) {
+                    return;
+                }
+            }
             if (!send_all(fd, answer_bytes(status,
-                                           {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
+                                           {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}},
                                            body.dump()))) {
                 return;
             }
@@ -468,8 +518,12 @@
             const std::uint64_t after = std::stoull(query["watch"]);
             const auto until = clock::now() + std::chrono::milliseconds(
                                                   std::stoull(query.contains("wait_ms") ? query["wait_ms"] : "0"));
+            if (after > m_revision) {
+                return {410, json::object()};
+            }
+            const std::uint64_t era = m_era;
             json events = events_after(kind, after);
-            while (events.empty() && !m_stopped &&
+            while (events.empty() && !m_stopped && !m_away && era == m_era &&
                    m_changed.wait_until(lock, until) != std::cv_status::timeout) {
                 events = events_after(kind, after);
             }
@@ -527,6 +581,15 @@
     std::map<std::string, std::map<std::string, object>> m_objects;
     std::vector<event> m_history;
     std::uint64_t m_revision = 1;
+    struct copy_of_all {
+        std::map<std::string, std::map<std::string, object>> objects;
+        std::vector<event> history;
+        std::uint64_t revision = 1;
+    };
+    copy_of_all m_copy;
+    std::uint64_t m_era = 1;
+    bool m_away = false;
+    std::set<int> m_connections;
     bool m_stopped = false;
     listener m_listener;
 };
@@ -623,12 +686,28 @@
     [[nodiscard]] json entry(const std::string& state = "ready") const {
         return {{"service", m_options.service}, {"address", m_listener.at().str()}, {"zone", m_options.zone},
                 {"version", "v1"},              {"slots", 6},                       {"state", state},
-                {"cold_remaining_ms", 0},       {"sequence", 1},                    {"born", 1796590000000ULL}};
+                {"cold_remaining_ms", 0},       {"sequence", 1},                    {"born", m_born.load()}};
     }
     [[nodiscard]] const std::string& id() const { return m_options.id; }
     [[nodiscard]] const std::string& service() const { return m_options.service; }
     /// From now on all answers say that the engine leaves.
     void leave() { m_leaving = true; }
+    /// Ends all connections, and turns new ones away until `start_again`.
+    void crash() {
+        const std::lock_guard lock(m_mutex);
+        m_down = true;
+        for (const int fd : m_connections) {
+            const linger reset{1, 0};
+            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            ::shutdown(fd, SHUT_RDWR);
+        }
+    }
+    /// The engine starts again under the id that it had, with a new `born`.
+    void start_again() {
+        const std::lock_guard lock(m_mutex);
+        m_down = false;
+        m_born += 1000;
+    }
     [[nodiscard]] std::vector<arrival> arrivals() const {
         const std::lock_guard lock(m_mutex);
         return m_arrivals;
@@ -644,6 +723,19 @@
 
   private:
     void serve(int fd) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_down) {
+                return;
+            }
+            m_connections.insert(fd);
+        }
+        answer_requests(fd);
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(fd);
+    }
+
+    void answer_requests(int fd) {
         reader in(fd);
         while (true) {
             const message call = read_message(in, false);
@@ -683,6 +775,9 @@
     engine_options m_options;
     record* m_log;
     std::atomic<bool> m_leaving{false};
+    std::atomic<std::uint64_t> m_born{1796590000000ULL};
+    bool m_down = false;
+    std::set<int> m_connections;
     mutable std::mutex m_mutex;
     std::vector<arrival> m_arrivals;
     listener m_listener;
