--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -842,6 +843,7 @@
     void start() {
         m_pid = ::fork();
         if (m_pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case, however that ends
             const int out = ::open(m_output.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
@@ -964,6 +966,7 @@
 }
 
 inline std::string temporary_folder() {
+    ::alarm(100); // a case that hangs ends in time
     std::string pattern = (std::filesystem::temp_directory_path() / "parsleypitch-review-XXXXXX").string();
     return ::mkdtemp(pattern.data()) == nullptr ? std::string() : pattern;
 }
