--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/standins-2/*.cpp; do
-    name=$(basename "$source" .cpp)
+for source in review/standins-2/*.cc; do
+    name=$(basename "$source" .cc)
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/$name" "$source"
 done
--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hh
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <nlohmann/json.hpp>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -15,8 +16,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -51,7 +50,9 @@
 inline std::int64_t now_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - epoch()).count();
 }
-inline void sleep_ms(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+inline void sleep_ms(std::int64_t ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
 inline void sleep_until_ms(std::int64_t at) {
     std::this_thread::sleep_until(epoch() + std::chrono::milliseconds(at));
 }
@@ -223,7 +224,7 @@
         }
         std::string value = line.substr(colon + 1);
         value.erase(0, value.find_first_not_of(' ') == std::string::npos ? value.size()
-                                                                        : value.find_first_not_of(' '));
+                                                                         : value.find_first_not_of(' '));
         out.headers.emplace_back(line.substr(0, colon), value);
     }
     if (out.header("transfer-encoding") == "chunked") {
@@ -276,7 +277,8 @@
 /// Listens and gives each connection to a thread of its own.
 class listener {
   public:
-    listener(address at, std::function<void(int)> handler) : m_at(std::move(at)), m_handler(std::move(handler)) {
+    listener(address at, std::function<void(int)> handler)
+        : m_at(std::move(at)), m_handler(std::move(handler)) {
         m_fd = ::socket(AF_INET, SOCK_STREAM, 0);
         const int one = 1;
         ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
@@ -421,7 +423,10 @@
 
     static json encode(const std::string& name, const object& what) {
         return {{"metadata",
-                 {{"name", name}, {"revision", what.revision}, {"created", 1}, {"finalizers", json::array()},
+                 {{"name", name},
+                  {"revision", what.revision},
+                  {"created", 1},
+                  {"finalizers", json::array()},
                   {"deleting", false}}},
                 {"spec", what.spec},
                 {"status", nullptr}};
@@ -488,9 +493,10 @@
                     return;
                 }
             }
-            if (!send_all(fd, answer_bytes(status,
-                                           {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}},
-                                           body.dump()))) {
+            if (!send_all(fd, answer_bytes(
+                                  status,
+                                  {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}},
+                                  body.dump()))) {
                 return;
             }
         }
@@ -517,8 +523,9 @@
         std::unique_lock lock(m_mutex);
         if (call.method == "GET" && name.empty() && query.contains("watch")) {
             const std::uint64_t after = std::stoull(query["watch"]);
-            const auto until = clock::now() + std::chrono::milliseconds(
-                                                  std::stoull(query.contains("wait_ms") ? query["wait_ms"] : "0"));
+            const auto until =
+                clock::now() +
+                std::chrono::milliseconds(std::stoull(query.contains("wait_ms") ? query["wait_ms"] : "0"));
             if (after > m_revision) {
                 return {410, json::object()};
             }
@@ -681,13 +688,20 @@
 class engine {
   public:
     engine(address at, engine_options options, record& log)
-        : m_options(std::move(options)), m_log(&log), m_listener(std::move(at), [this](int fd) { serve(fd); }) {}
+        : m_options(std::move(options)), m_log(&log),
+          m_listener(std::move(at), [this](int fd) { serve(fd); }) {}
     ~engine() { m_listener.stop(); }
 
     [[nodiscard]] json entry(const std::string& state = "ready") const {
-        return {{"service", m_options.service}, {"address", m_listener.at().str()}, {"zone", m_options.zone},
-                {"version", "v1"},              {"slots", 6},                       {"state", state},
-                {"cold_remaining_ms", 0},       {"sequence", 1},                    {"born", m_born.load()}};
+        return {{"service", m_options.service},
+                {"address", m_listener.at().str()},
+                {"zone", m_options.zone},
+                {"version", "v1"},
+                {"slots", 6},
+                {"state", state},
+                {"cold_remaining_ms", 0},
+                {"sequence", 1},
+                {"born", m_born.load()}};
     }
     [[nodiscard]] const std::string& id() const { return m_options.id; }
     [[nodiscard]] const std::string& service() const { return m_options.service; }
@@ -750,16 +764,18 @@
             const std::string id = call.header("Parsleypitch-Attempt-Id");
             const std::string expected = call.header("Parsleypitch-Target-Instance");
             if (!expected.empty() && expected != m_options.id) {
-                send_all(fd, answer_bytes(421, {{"Parsleypitch-Instance-Id", m_options.id},
-                                                {"Parsleypitch-Attempt-Id", id}}, ""));
+                send_all(fd, answer_bytes(421,
+                                          {{"Parsleypitch-Instance-Id", m_options.id},
+                                           {"Parsleypitch-Attempt-Id", id}},
+                                          ""));
                 continue;
             }
             {
                 const std::lock_guard lock(m_mutex);
                 m_arrivals.push_back({now_ms(), m_options.id, id, call.target});
             }
-            m_log->line("engine %s (%s) runs %s %s", m_options.id.c_str(), m_options.service.c_str(), id.c_str(),
-                        call.target.c_str());
+            m_log->line("engine %s (%s) runs %s %s", m_options.id.c_str(), m_options.service.c_str(),
+                        id.c_str(), call.target.c_str());
             sleep_ms(m_options.work_ms);
             std::vector<std::pair<std::string, std::string>> headers = {
                 {"Parsleypitch-Attempt-Id", id},
@@ -796,8 +812,8 @@
 /// One entry machine: the process of the deploy file with a settings file of its own.
 class entry_host {
   public:
-    entry_host(std::string name, std::string ip, std::string zone, const address& store_at, std::string folder,
-               const bounds& limits, bool bootstrap)
+    entry_host(std::string name, std::string ip, std::string zone, const address& store_at,
+               std::string folder, const bounds& limits, bool bootstrap)
         : m_name(std::move(name)), m_front{ip, free_port(ip)}, m_ready{ip, free_port(ip)} {
         const int first = free_port(ip);
         const json settings = {
@@ -815,25 +831,49 @@
             {"bootstrap", bootstrap},
             {"fault_counted", false},
             {"limits",
-             {{"cpu_share", 0.19}, {"cores", 1}, {"memory_mb", 260}, {"max_fds", 4100}, {"link_mbps", 1000.0},
+             {{"cpu_share", 0.19},
+              {"cores", 1},
+              {"memory_mb", 260},
+              {"max_fds", 4100},
+              {"link_mbps", 1000.0},
               {"disk_mb", 0}}},
             {"data_dir", nullptr},
             {"discovery", "platform"},
             {"entry", "vip"},
             {"heartbeat_ms", 1200},
             {"contracts",
-             {"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "platform"}},
+             {"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine",
+              "platform"}},
             {"tolerate", {{"machines", 2}, {"zones", 0}, {"regions", 0}}},
             {"bounds",
-             {{"seed_lag_s", 3}, {"reuse_after_s", 2}, {"contact_ms", limits.contact_ms}, {"ack_ms", 4000},
-              {"catch_up_s", 4}, {"drain_ms", limits.drain_ms}, {"grace_s", limits.grace_s},
-              {"loss_slack_ms", 200}, {"config_apply_ms", limits.config_apply_ms}, {"downgrade_slack_ms", 250},
-              {"max_skew_ms", 5000}, {"retry_budget_ratio", 0.2}, {"budget_window_s", 10},
-              {"retry_budget_slack", 58}, {"recovery_s", 12}, {"transit_ms", 120}, {"reuse_window_s", 9.7},
-              {"require_fence", false}, {"lease_ms", 3000}, {"thaw_ms", 300}}},
+             {{"seed_lag_s", 3},
+              {"reuse_after_s", 2},
+              {"contact_ms", limits.contact_ms},
+              {"ack_ms", 4000},
+              {"catch_up_s", 4},
+              {"drain_ms", limits.drain_ms},
+              {"grace_s", limits.grace_s},
+              {"loss_slack_ms", 200},
+              {"config_apply_ms", limits.config_apply_ms},
+              {"downgrade_slack_ms", 250},
+              {"max_skew_ms", 5000},
+              {"retry_budget_ratio", 0.2},
+              {"budget_window_s", 10},
+              {"retry_budget_slack", 58},
+              {"recovery_s", 12},
+              {"transit_ms", 120},
+              {"reuse_window_s", 9.7},
+              {"require_fence", false},
+              {"lease_ms", 3000},
+              {"thaw_ms", 300}}},
             {"platform",
-             {{"address", store_at.str()}, {"form", "objects"}, {"writes_per_s", 400}, {"reads_per_s", 2000},
-              {"history_s", 20}, {"value_bytes", 1048576}, {"ttl_min_ms", 1000}}}};
+             {{"address", store_at.str()},
+              {"form", "objects"},
+              {"writes_per_s", 400},
+              {"reads_per_s", 2000},
+              {"history_s", 20},
+              {"value_bytes", 1048576},
+              {"ttl_min_ms", 1000}}}};
         m_settings = folder + "/" + m_name + ".json";
         m_output = folder + "/" + m_name + ".log";
         std::ofstream(m_settings) << settings.dump(2);
@@ -852,7 +892,8 @@
             }
             const std::string variable = "PARSLEYPITCH_SETTINGS=" + m_settings;
             const std::string path = std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "");
-            char* environment[] = {const_cast<char*>(variable.c_str()), const_cast<char*>(path.c_str()), nullptr};
+            char* environment[] = {const_cast<char*>(variable.c_str()), const_cast<char*>(path.c_str()),
+                                   nullptr};
             char program[] = "target/parsleypitch";
             char role[] = "serve";
             char* arguments[] = {program, role, nullptr};
@@ -921,7 +962,8 @@
 
 inline std::string request_bytes(const std::string& method, const std::string& target, const std::string& id,
                                  std::int64_t deadline_ms, const std::string& body = "") {
-    std::string out = method + " " + target + " HTTP/1.1\r\nHost: desk.example\r\nParsleypitch-Attempt-Id: " + id +
+    std::string out = method + " " + target +
+                      " HTTP/1.1\r\nHost: desk.example\r\nParsleypitch-Attempt-Id: " + id +
                       "\r\nParsleypitch-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
     if (method != "GET") {
         out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -939,24 +981,29 @@
 
 inline json route(const std::string& name, const std::string& prefix, const std::string& kind,
                   const std::string& service, std::int64_t timeout_ms, int attempts) {
-    return {{"name", name},         {"host", "desk.example"},    {"path_prefix", prefix},
-            {"kind", kind},         {"timeout_ms", timeout_ms},  {"target_latency_ms", 200},
-            {"priority", 2},        {"service", service},        {"max_attempts", attempts},
-            {"public", false},      {"sticky", false},           {"resumable", false}};
+    return {{"name", name},    {"host", "desk.example"},   {"path_prefix", prefix},
+            {"kind", kind},    {"timeout_ms", timeout_ms}, {"target_latency_ms", 200},
+            {"priority", 2},   {"service", service},       {"max_attempts", attempts},
+            {"public", false}, {"sticky", false},          {"resumable", false}};
 }
 
 inline json configuration(std::uint64_t version, const std::vector<json>& routes,
                           const std::vector<std::string>& services) {
     json listed = json::array();
     for (const std::string& name : services) {
-        listed.push_back({{"name", name}, {"health_path", "/health"}, {"max_connections", 110},
-                          {"protocol", "h1"}, {"tls", false}});
+        listed.push_back({{"name", name},
+                          {"health_path", "/health"},
+                          {"max_connections", 110},
+                          {"protocol", "h1"},
+                          {"tls", false}});
     }
     return {{"version", version},
             {"routes", routes},
             {"services", listed},
             {"limits",
-             {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000},
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 4194304},
+              {"header_timeout_ms", 3000},
               {"idle_timeout_ms", 15000}}}};
 }
 
--- a/review/standins-2/restored-older-start.cpp
+++ b/review/standins-2/restored-older-start.cc
@@ -1,5 +1,6 @@
-// Case: an engine that started again is leaving, and the store comes back from a copy that shows its earlier start.
-#include "harness.hpp"
+// Case: an engine that started again is leaving, and the store comes back from a copy that shows its earlier
+// start.
+#include "harness.hh"
 
 using namespace review;
 
@@ -27,7 +28,8 @@
     epoch();
     record log(std::string(argv[1]) + "/record.txt");
     const bool troubled = trouble();
-    log.summary("a leaving engine and a store that comes back from a copy; trouble: %s", troubled ? "yes" : "no");
+    log.summary("a leaving engine and a store that comes back from a copy; trouble: %s",
+                troubled ? "yes" : "no");
     const std::string folder = temporary_folder();
     int code = 2;
     store platform({"127.0.64.2", free_port("127.0.64.2")});
@@ -99,7 +101,8 @@
         leaver.leave();
         platform.put("servers", leaver.id(), leaver.entry("draining"));
         const std::int64_t acknowledged = now_ms();
-        log.line("store acknowledges that %s is draining; its answers say Server-Leaving", leaver.id().c_str());
+        log.line("store acknowledges that %s is draining; its answers say Server-Leaving",
+                 leaver.id().c_str());
         sleep_ms(leaving_before_drill_ms);
         if (troubled) {
             platform.go_away();
@@ -134,11 +137,13 @@
             }
             ++broken;
             last = std::max(last, each.at);
-            log.line("BROKEN: %s, sent %lld ms after the machine had passed on an answer with Server-Leaving, reached %s",
+            log.line("BROKEN: %s, sent %lld ms after the machine had passed on an answer with "
+                     "Server-Leaving, reached %s",
                      each.id.c_str(), static_cast<long long>(known->second.sent_at - passed_on),
                      each.engine.c_str());
         }
-        log.summary("requests sent: %zu; first answer with Server-Leaving passed on %lld ms after the report; requests "
+        log.summary("requests sent: %zu; first answer with Server-Leaving passed on %lld ms after the "
+                    "report; requests "
                     "sent later than drain_ms after it that reached the engine: %d",
                     requests.size(), static_cast<long long>(passed_on - acknowledged), broken);
         code = requests.size() < 100 || passed_on == 0 ? 2 : broken > 0 ? 1 : 0;
--- a/review/standins-2/silent-config.cpp
+++ b/review/standins-2/silent-config.cc
@@ -1,5 +1,5 @@
 // Case: the connections to the store fall silent while configurations come in quick succession.
-#include "harness.hpp"
+#include "harness.hh"
 
 using namespace review;
 
@@ -32,7 +32,8 @@
     epoch();
     record log(std::string(argv[1]) + "/record.txt");
     const bool troubled = trouble();
-    log.summary("silent connections to the store between two configurations; trouble: %s", troubled ? "yes" : "no");
+    log.summary("silent connections to the store between two configurations; trouble: %s",
+                troubled ? "yes" : "no");
     const std::string folder = temporary_folder();
     int code = 2;
     {
@@ -83,8 +84,8 @@
                             made.status = answer.status;
                             made.complete = answer.complete;
                             ::close(fd);
-                            log.line("client sent %s to %s at %lld, status %d", made.id.c_str(), made.host.c_str(),
-                                     static_cast<long long>(made.sent_at), made.status);
+                            log.line("client sent %s to %s at %lld, status %d", made.id.c_str(),
+                                     made.host.c_str(), static_cast<long long>(made.sent_at), made.status);
                             const std::lock_guard lock(mutex);
                             requests.push_back(made);
                         }
@@ -115,7 +116,8 @@
                 run_by_old.insert(each.id);
             }
             const std::int64_t bound = acknowledged + limits.config_apply_ms;
-            const std::int64_t in_touch = troubled ? trouble_at + disruption_ms + limits.contact_ms + slack_ms : 0;
+            const std::int64_t in_touch =
+                troubled ? trouble_at + disruption_ms + limits.contact_ms + slack_ms : 0;
             int broken = 0;
             std::int64_t last = 0;
             std::size_t judged = 0;
@@ -129,13 +131,15 @@
                     last = std::max(last, each.sent_at);
                     log.line("BROKEN: %s, sent to %s %lld ms after the acknowledgement and %lld ms after the "
                              "silence began, ran at the old service",
-                             each.id.c_str(), each.host.c_str(), static_cast<long long>(each.sent_at - acknowledged),
+                             each.id.c_str(), each.host.c_str(),
+                             static_cast<long long>(each.sent_at - acknowledged),
                              static_cast<long long>(each.sent_at - trouble_at));
                 }
             }
-            log.summary("requests sent by machines in touch later than config_apply_ms: %zu; run by the old service: "
-                        "%d, the last one %lld ms after the acknowledgement",
-                        judged, broken, broken > 0 ? static_cast<long long>(last - acknowledged) : 0LL);
+            log.summary(
+                "requests sent by machines in touch later than config_apply_ms: %zu; run by the old service: "
+                "%d, the last one %lld ms after the acknowledgement",
+                judged, broken, broken > 0 ? static_cast<long long>(last - acknowledged) : 0LL);
             code = judged < 50 ? 2 : broken > 0 ? 1 : 0;
         }
         one.kill();
--- a/review/standins-2/silent-removal.cpp
+++ b/review/standins-2/silent-removal.cc
@@ -1,5 +1,5 @@
 // Case: engines leave, and the connections to the store fall silent.
-#include "harness.hpp"
+#include "harness.hh"
 
 using namespace review;
 
@@ -89,7 +89,8 @@
         for (const entry_host* host : {&one, &two}) {
             clients.emplace_back([&, host] {
                 for (int i = 0; i < requests_per_host; ++i) {
-                    sleep_until_ms(trouble_at + first_request_after_silence_ms + i * pause_between_requests_ms);
+                    sleep_until_ms(trouble_at + first_request_after_silence_ms +
+                                   i * pause_between_requests_ms);
                     call(*host);
                 }
             });
@@ -99,15 +100,18 @@
         }
         int broken = 0;
         for (const arrival& each : engines[0]->arrivals()) {
-            if (each.at > acknowledged + limits.drain_ms && each.at > trouble_at + disruption_ms + limits.contact_ms) {
+            if (each.at > acknowledged + limits.drain_ms &&
+                each.at > trouble_at + disruption_ms + limits.contact_ms) {
                 ++broken;
-                log.line("BROKEN: %s reached %s %lld ms after the store had acknowledged that it is gone, and %lld ms "
+                log.line("BROKEN: %s reached %s %lld ms after the store had acknowledged that it is gone, "
+                         "and %lld ms "
                          "after the silence began",
                          each.id.c_str(), each.engine.c_str(), static_cast<long long>(each.at - acknowledged),
                          static_cast<long long>(each.at - trouble_at));
             }
         }
-        log.summary("requests sent: %zu, answered with success: %d; requests that reached the engine that is gone: %d",
+        log.summary("requests sent: %zu, answered with success: %d; requests that reached the engine that is "
+                    "gone: %d",
                     sent.size(), answered, broken);
         code = sent.size() < 20 ? 2 : broken > 0 ? 1 : 0;
     }
--- a/review/standins-2/slow-readers.cpp
+++ b/review/standins-2/slow-readers.cc
@@ -1,5 +1,5 @@
 // Case: clients that read long answers slowly, and a planned stop of their machine.
-#include "harness.hpp"
+#include "harness.hh"
 
 using namespace review;
 
@@ -138,8 +138,9 @@
             for (const outcome& each : quick) {
                 quick_answered += each.complete ? 1 : 0;
             }
-            log.summary("long answers cut off before the client's deadline: %d of %d; short ones answered: %d of %d",
-                        broken, slow_clients, quick_answered, quick_clients);
+            log.summary(
+                "long answers cut off before the client's deadline: %d of %d; short ones answered: %d of %d",
+                broken, slow_clients, quick_answered, quick_clients);
             if (troubled && ended_at > 0) {
                 log.summary("the process ended %lld ms after SIGTERM; the grace period is 8000 ms",
                             static_cast<long long>(ended_at - stop_at));
