--- a/review/standins-2/restored-older-start.cc
+++ b/review/standins-2/restored-older-start.cc
@@ -15,6 +15,9 @@
 /// Engines write their entries about every `heartbeat_ms`, so the report is written again by then.
 constexpr std::int64_t heartbeat_ms = 1200;
 
+/// Time from the first answer that says that the engine leaves until the store has accepted its report.
+constexpr std::int64_t report_delay_ms = 150;
+
 struct answered_request {
     std::int64_t sent_at = 0;
     std::int64_t answered_at = 0;
@@ -99,6 +102,7 @@
         }
         sleep_ms(1500);
         leaver.leave();
+        sleep_ms(report_delay_ms);
         platform.put("servers", leaver.id(), leaver.entry("draining"));
         const std::int64_t acknowledged = now_ms();
         log.line("store acknowledges that %s is draining; its answers say Server-Leaving",
