Fail a call whose connection is reset while its request is written

Callers got the first part of an answer as a complete 200: an engine answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one operation only. With an upload in progress the write takes ECONNRESET, and the read that follows sees a plain end of the connection. The client dropped the error of the write ("reported by the read") and took that end for the end of a body without a length.

Fix: the client keeps the error of the write. An end of the connection is taken for the end of a body only if the write has not failed, or has failed with EPIPE: the kernel reports that if the server had ended its side before the reset, and then no byte of the body is missing. Both early answers that end in order, with and without a later reset, are still delivered.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -72,6 +72,8 @@
     void write();
     void read();
     void on_read(const std::error_code& code, std::size_t bytes);
+    void on_connection_end();
+    [[nodiscard]] bool is_orderly_end() const;
     bool parse();
     void finish();
     void fail_call(const error& why);
@@ -89,6 +91,8 @@
     std::uint64_t m_calls = 0;
     bool m_read_pending = false;
     bool m_request_written = false;
+    /// Why the request could not be written to its end.
+    std::error_code m_write_failure;
     bool m_head_reported = false;
     bool m_is_unrelated_response = false;
     unsigned m_dropped_responses = 0;
@@ -148,6 +152,7 @@
     m_call_active = true;
     ++m_calls;
     m_request_written = false;
+    m_write_failure.clear();
     m_head_reported = false;
     m_is_unrelated_response = false;
     m_dropped_responses = 0;
@@ -184,8 +189,9 @@
                           if (self->m_closed) {
                               return;
                           }
-                          // A write error is reported by the read, which may still receive a response.
+                          // The read ends the call, because it may still receive a response.
                           self->m_request_written = !code;
+                          self->m_write_failure = code;
                       });
 }
 
@@ -210,21 +216,7 @@
         return;
     }
     if (code == asio::error::eof) {
-        const bool ended =
-            m_parser->head_complete() && !m_is_unrelated_response && m_parser->parse_end().has_value();
-        if (!ended) {
-            fail_call(fail(errc::backend_broken,
-                           m_endpoint.str() + ": connection closed before the end of the response"));
-            return;
-        }
-        std::string rest = m_parser->take_body();
-        const call_hooks hooks = std::exchange(m_hooks, {});
-        m_call_active = false;
-        close();
-        if (!rest.empty()) {
-            hooks.body(std::move(rest));
-        }
-        hooks.end();
+        on_connection_end();
         return;
     }
     if (code) {
@@ -237,6 +229,35 @@
     }
 }
 
+void client_connection::on_connection_end() {
+    if (!is_orderly_end()) {
+        fail_call(fail(errc::backend_broken, m_endpoint.str() + ": " + m_write_failure.message()));
+        return;
+    }
+    const bool ended =
+        m_parser->head_complete() && !m_is_unrelated_response && m_parser->parse_end().has_value();
+    if (!ended) {
+        fail_call(fail(errc::backend_broken,
+                       m_endpoint.str() + ": connection closed before the end of the response"));
+        return;
+    }
+    std::string rest = m_parser->take_body();
+    const call_hooks hooks = std::exchange(m_hooks, {});
+    m_call_active = false;
+    close();
+    if (!rest.empty()) {
+        hooks.body(std::move(rest));
+    }
+    hooks.end();
+}
+
+/// Whether the server has closed the connection, so that no byte of the response is missing. The kernel
+/// reports a reset or a timeout to one operation only. If that is the write of the request, the read sees the
+/// same end as after a close. A write that fails after the server's close reports `broken_pipe` instead.
+bool client_connection::is_orderly_end() const {
+    return !m_write_failure || m_write_failure == asio::error::broken_pipe;
+}
+
 /// Parses the received bytes and calls the hooks.
 /// @return false if the connection is closed or the call has ended
 bool client_connection::parse() {
--- a/tests/unit-http-connections.cpp
+++ b/tests/unit-http-connections.cpp
@@ -1,10 +1,9 @@
-#include <parsleypitch/http/client.hpp>
+#include "http_client_fixture.hpp"
+
 #include <parsleypitch/http/server.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/read_until.hpp>
-#include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -211,50 +210,6 @@
     EXPECT_TRUE(closed);
 }
 
-/// A client and a server socket whose bytes the test writes itself.
-class http_client_fixture : public testing::Test {
-  protected:
-    void SetUp() override { make_client({}); }
-    void make_client(client_limits limits) { m_client = std::make_unique<client>(m_context, limits); }
-
-    [[nodiscard]] endpoint address() const {
-        return endpoint("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
-    }
-    /// Starts a call and records its hooks as text in `m_events`.
-    call_handle start(const std::string& request = "GET / HTTP/1.1\r\n\r\n", call_options options = {}) {
-        call_hooks hooks;
-        hooks.sent = [this] { m_events += "sent "; };
-        hooks.matches_request = [](const response_head& head) {
-            return head.headers.find("foreign") == nullptr;
-        };
-        hooks.head = [this](const response_head& head) { m_events += std::to_string(head.status) + " "; };
-        hooks.body = [this](const std::string& part) { m_events += "[" + part + "] "; };
-        hooks.end = [this] { m_events += "end "; };
-        hooks.failed = [this](const error& why) { m_events += reason_name(why.code) + " "; };
-        return m_client->start(address(), request, options, std::move(hooks));
-    }
-    tcp::socket accept() {
-        tcp::socket socket(m_context);
-        m_acceptor.accept(socket);
-        // The request is read, because closing a connection with unread bytes resets it.
-        asio::streambuf request;
-        asio::read_until(socket, request, "\r\n\r\n");
-        return socket;
-    }
-    void run(duration time = milliseconds(50)) {
-        m_context.restart();
-        m_context.run_for(time);
-    }
-    static void send(tcp::socket& socket, const std::string& text) {
-        asio::write(socket, asio::buffer(text));
-    }
-
-    asio::io_context m_context;
-    tcp::acceptor m_acceptor{m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
-    std::unique_ptr<client> m_client;
-    std::string m_events;
-};
-
 // Guards against a hook that is destroyed while it runs, because it cancels its call.
 TEST_F(http_client_fixture, hook_that_cancels_its_call_may_use_its_captures_afterwards) {
     const auto handle = std::make_shared<call_handle>();
