Take a response with a status outside 100 to 599 for broken

An engine in trouble answered with the status 000. Callers of a host then got no answer before their deadline: the client took every status below 200 for an interim response and waited for the next one. 600 to 999 were passed on to callers, and the connection was used again.

Cause: Beast accepts any three digits, and the parser kept what it read.

Evidence: broken_response_fixture with status_000, status_099, status_600 and status_999. Before this change the first two end after 5 s with only "sent", the others with "sent 600 [ok] end" and "sent 999 [ok] end" on a connection that is kept.

Fix: the parser rejects statuses outside the five classes of RFC 9110, 15, as soon as it has read the start line. The call fails with backend_broken, so that the caller gets 502 or the request is repeated where its route allows that, and the connection is closed.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -9,6 +9,10 @@
 namespace beast = boost::beast;
 using beast_string = beast::string_view;
 
+/// Status codes that responses may have (RFC 9110, 15).
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
+
 std::string text_of(beast_string text) {
     return {text.data(), text.size()};
 }
@@ -34,7 +38,8 @@
                           beast::error_code& code) override {
         head.status = static_cast<unsigned>(status);
         head.reason = text_of(reason);
-        code = {};
+        const bool is_valid = status >= lowest_status && status <= highest_status;
+        code = is_valid ? beast::error_code() : beast::http::error::bad_status;
     }
     void on_field_impl(beast::http::field /*field*/, beast_string name, beast_string value,
                        beast::error_code& code) override {
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -66,6 +66,10 @@
 inline std::vector<response_sample> broken_status_lines() {
     using detail::with_status_line;
     return {
+        with_status_line("status_000", "HTTP/1.1 000 OK"),
+        with_status_line("status_099", "HTTP/1.1 099 OK"),
+        with_status_line("status_600", "HTTP/1.1 600 OK"),
+        with_status_line("status_999", "HTTP/1.1 999 OK"),
         with_status_line("status_of_two_digits", "HTTP/1.1 20 OK"),
         with_status_line("status_of_four_digits", "HTTP/1.1 2000 OK"),
         with_status_line("status_is_no_number", "HTTP/1.1 2x0 OK"),
