Take a body in an unknown transfer coding for broken

A server that answers with Transfer-Encoding: gzip, or with "chunked" where it is not the only and last coding, had its encoded bytes delivered to the caller as the body, chunk sizes included: "2\r\nok\r\n0..." for "ok". The caller could not see it, since the field itself is hop-by-hop and removed.

Cause: Beast reads a body up to the end of the connection if the last coding is not "chunked", which RFC 9112, 6.3, allows to a recipient that can remove the other codings. The parser of requests has a check for that, the one of responses had none. It also took chunks in an HTTP/1.0 response, whose framing is to be treated as faulty (RFC 9112, 6.1).

Fix: once the head of a response that can have a body is complete, its codings must be none, or only "chunked" in HTTP/1.1. Lists with empty elements and other letter cases stay valid, as do codings that responses to HEAD, 204 and 304 merely name.

list_elements replaces the two places that split list fields themselves.

--- a/include/parsleypitch/http/message.hpp
+++ b/include/parsleypitch/http/message.hpp
@@ -38,6 +38,9 @@
 
 [[nodiscard]] bool equals_ignoring_case(std::string_view a, std::string_view b) noexcept;
 
+/// @brief Elements of the comma-separated lists in all fields of a name; empty elements are left out.
+[[nodiscard]] std::vector<std::string> list_elements(const header_list& headers, std::string_view name);
+
 /// @brief Removes hop-by-hop header fields (RFC 9110, 7.6.1).
 ///
 /// Fields listed in `Connection` are removed too, except those in `kept`: otherwise a client could make the
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -26,13 +26,12 @@
     return text;
 }
 
-/// Calls `visit` with each non-empty element of a comma-separated list.
-template <class Visit>
-void for_each_list_element(std::string_view list, Visit visit) {
+/// Appends the elements of a comma-separated list; empty ones are left out.
+void append_list_elements(std::vector<std::string>& to, std::string_view list) {
     while (!list.empty()) {
         const std::size_t comma = std::min(list.find(','), list.size());
         if (const std::string_view element = trim(list.substr(0, comma)); !element.empty()) {
-            visit(element);
+            to.emplace_back(element);
         }
         list.remove_prefix(std::min(comma + 1, list.size()));
     }
@@ -88,15 +87,18 @@
                       [name](const header_field& field) { return equals_ignoring_case(field.name, name); }));
 }
 
-void remove_hop_by_hop(header_list& headers, const std::vector<std::string_view>& kept) {
-    std::vector<std::string> named;
+std::vector<std::string> list_elements(const header_list& headers, std::string_view name) {
+    std::vector<std::string> elements;
     for (const header_field& field : headers) {
-        if (equals_ignoring_case(field.name, "connection")) {
-            detail::for_each_list_element(field.value,
-                                          [&named](std::string_view name) { named.emplace_back(name); });
+        if (equals_ignoring_case(field.name, name)) {
+            detail::append_list_elements(elements, field.value);
         }
     }
-    for (const std::string& name : named) {
+    return elements;
+}
+
+void remove_hop_by_hop(header_list& headers, const std::vector<std::string_view>& kept) {
+    for (const std::string& name : list_elements(headers, "connection")) {
         const bool keep = std::any_of(kept.begin(), kept.end(), [&name](std::string_view kept_name) {
             return equals_ignoring_case(kept_name, name);
         });
@@ -177,13 +179,9 @@
 }
 
 std::optional<seconds> keep_alive_timeout(const header_list& headers) {
-    const std::string* value = headers.find("keep-alive");
-    if (value == nullptr) {
-        return std::nullopt;
-    }
+    constexpr std::string_view key = "timeout=";
     std::optional<seconds> timeout;
-    detail::for_each_list_element(*value, [&timeout](std::string_view element) {
-        constexpr std::string_view key = "timeout=";
+    for (const std::string_view element : list_elements(headers, "keep-alive")) {
         if (element.size() > key.size() && equals_ignoring_case(element.substr(0, key.size()), key)) {
             std::int64_t number = 0;
             const std::string_view digits = element.substr(key.size());
@@ -192,7 +190,7 @@
                 timeout = seconds(number);
             }
         }
-    });
+    }
     return timeout;
 }
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -12,6 +12,7 @@
 /// Status codes that responses may have (RFC 9110, 15).
 constexpr int lowest_status = 100;
 constexpr int highest_status = 599;
+constexpr int version_1_1 = 11;
 
 std::string text_of(beast_string text) {
     return {text.data(), text.size()};
@@ -26,6 +27,8 @@
     response_head head;
     std::string body;
     std::uint64_t body_size = 0;
+    /// Ten times the major version of HTTP plus the minor one.
+    int version = 0;
 
   private:
     void on_request_impl(beast::http::verb /*verb*/, beast_string method_text, beast_string target_text,
@@ -34,8 +37,9 @@
         target = text_of(target_text);
         code = {};
     }
-    void on_response_impl(int status, beast_string reason, int /*version*/,
+    void on_response_impl(int status, beast_string reason, int version_number,
                           beast::error_code& code) override {
+        version = version_number;
         head.status = static_cast<unsigned>(status);
         head.reason = text_of(reason);
         const bool is_valid = status >= lowest_status && status <= highest_status;
@@ -126,6 +130,26 @@
            !(coding != nullptr && headers.count("content-length") == 1) && headers.count("host") == 1;
 }
 
+/// Whether a response has no body whatever its fields say (RFC 9112, 6.3).
+bool has_no_body(unsigned status, bool is_head_request) {
+    constexpr unsigned first_final_status = 200;
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return is_head_request || status < first_final_status || status == no_content || status == not_modified;
+}
+
+/// Whether the transfer codings of a body can be removed: it has none, or only `chunked` in HTTP/1.1
+/// (RFC 9112, 6.1). Beast delivers a body in any other coding as if it had none.
+bool has_removable_coding(const collecting_parser<false>& parser) {
+    const header_list& headers = parser.head.headers;
+    if (headers.find("transfer-encoding") == nullptr) {
+        return true;
+    }
+    const std::vector<std::string> codings = list_elements(headers, "transfer-encoding");
+    return parser.version == version_1_1 && parser.chunked() && codings.size() == 1 &&
+           equals_ignoring_case(codings.front(), "chunked");
+}
+
 } // namespace detail
 
 struct request_parser::state {
@@ -195,15 +219,19 @@
 }
 
 struct response_parser::state {
-    explicit state(message_limits limits) : line_limit(limits.header) { detail::set_limits(parser, limits); }
+    state(message_limits limits, bool head_request)
+        : line_limit(limits.header), is_head_request(head_request) {
+        detail::set_limits(parser, limits);
+        parser.skip(head_request);
+    }
 
     detail::collecting_parser<false> parser;
     byte_count line_limit;
+    bool is_head_request;
 };
 
 response_parser::response_parser(message_limits limits, bool is_head_request)
-    : m_state(std::make_unique<state>(limits)) {
-    m_state->parser.skip(is_head_request);
+    : m_state(std::make_unique<state>(limits, is_head_request)) {
 }
 response_parser::~response_parser() = default;
 response_parser::response_parser(response_parser&&) noexcept = default;
@@ -220,6 +248,10 @@
         return fail(errc::backend_broken, "chunk size or trailer line exceeds the size limit");
     }
     if (!head_was_complete && m_state->parser.is_header_done()) {
+        if (!detail::has_no_body(m_state->parser.head.status, m_state->is_head_request) &&
+            !detail::has_removable_coding(m_state->parser)) {
+            return fail(errc::backend_broken, "transfer coding other than chunked");
+        }
         m_state->parser.head.keep_alive = m_state->parser.keep_alive();
         m_state->parser.head.ends_with_connection = m_state->parser.need_eof();
     }
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -139,8 +139,22 @@
         with_framing("lengths_that_disagree", "Content-Length: 2\r\nContent-Length: 3\r\n", "ok"),
         with_framing("length_before_chunks", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", chunks),
         with_framing("length_after_chunks", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", chunks),
+        with_framing("coding_gzip", "Transfer-Encoding: gzip\r\n", "ok"),
+        with_framing("coding_gzip_before_a_length", "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n", "ok"),
+        with_framing("coding_gzip_and_chunked", "Transfer-Encoding: gzip, chunked\r\n", chunks),
+        with_framing("coding_gzip_and_chunked_in_two_fields",
+                     "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks),
+        with_framing("coding_chunked_before_gzip", "Transfer-Encoding: chunked, gzip\r\n", chunks),
+        with_framing("coding_chunked_twice", "Transfer-Encoding: chunked, chunked\r\n", chunks),
         with_framing("coding_chunked_in_two_fields",
                      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunks),
+        with_framing("coding_identity", "Transfer-Encoding: identity\r\n", "ok"),
+        with_framing("coding_of_unknown_name", "Transfer-Encoding: xchunked\r\n", chunks),
+        with_framing("coding_chunked_with_a_parameter", "Transfer-Encoding: chunked;q=1\r\n", chunks),
+        with_framing("coding_in_quotes", "Transfer-Encoding: \"chunked\"\r\n", chunks),
+        with_framing("coding_is_empty", "Transfer-Encoding: \r\n", "ok"),
+        with_framing("coding_is_no_list", "Transfer-Encoding: chunked gzip\r\n", chunks),
+        with_framing("chunks_in_version_1_0", "Transfer-Encoding: chunked\r\n", chunks, "HTTP/1.0 200 OK"),
     };
 }
 
