Take a switch of protocols that no request asked for for broken

A server that answered 101 kept its caller waiting until the deadline: the client dropped the response as an interim one and read the bytes after it as HTTP, although the server had left HTTP.

Evidence: broken_response_fixture with switching_protocols ends after 5 s with only "sent" before this change.

Fix: the parser rejects 101, since Upgrade is hop-by-hop and no request of this system carries it (RFC 9110, 7.8). The call fails at once.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -12,6 +12,7 @@
 /// Status codes that responses may have (RFC 9110, 15).
 constexpr int lowest_status = 100;
 constexpr int highest_status = 599;
+constexpr int switching_protocols = 101;
 constexpr int version_1_1 = 11;
 
 std::string text_of(beast_string text) {
@@ -42,7 +43,9 @@
         version = version_number;
         head.status = static_cast<unsigned>(status);
         head.reason = text_of(reason);
-        const bool is_valid = status >= lowest_status && status <= highest_status;
+        // No request asks for another protocol, and the bytes after a switch would not be HTTP.
+        const bool is_valid =
+            status >= lowest_status && status <= highest_status && status != switching_protocols;
         code = is_valid ? beast::error_code() : beast::http::error::bad_status;
     }
     void on_field_impl(beast::http::field /*field*/, beast_string name, beast_string value,
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -88,6 +88,9 @@
         with_status_line("nul_in_the_reason", std::string("HTTP/1.1 200 O\0K", 16)),
         with_status_line("carriage_return_in_the_reason", "HTTP/1.1 200 O\rK"),
         with_status_line("delete_in_the_reason", "HTTP/1.1 200 O\x7fK"),
+        {"switching_protocols",
+         detail::sample_head("HTTP/1.1 101 Switching Protocols", "Upgrade: echo\r\nConnection: upgrade\r\n") +
+             sample_body},
     };
 }
 
