Read the answers of backend servers in agents as hosts do

In a deployment with agents, broken answers of plain services and engines reached callers: the status 000 or 600, an answer in whose head a field name held a blank or a control byte, a body up to the end of the connection because the field with its length could not be read, chunks that disagree with their sizes. Some valid answers were refused: with trailers, or after a second interim response.

Cause: agents read answers with cpp-httplib, which skips header lines that it cannot parse, takes any three digits for a status, reads lengths up to the first byte that is no digit, and prefers one of several framing fields.

A stream that broke off after its end event, without its last chunk, was taken for complete.

Fix: net::blocking_http_client wraps http::client for threads that block, and net::http_pool pools it, so that hosts and agents judge answers by one parser. The end event of a stream counts once the response is complete. A broken answer with an error status no longer proves that nothing ran.

--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -12,11 +12,12 @@
 
 using nlohmann::json;
 
-constexpr int status_accepted = 202;
-constexpr int status_bad_request = 400;
-constexpr int status_conflict = 409;
-constexpr int status_locked = 423;
-constexpr int status_too_many = 429;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_accepted = 202;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_locked = 423;
+constexpr unsigned status_too_many = 429;
 
 engine_state parse_engine_state(const json& body) {
     engine_state state;
@@ -46,17 +47,17 @@
             {"prefill_only", work.prefill_only}};
 }
 
-/// Parses the response of the engine line by line, emits the events of this attempt and records how the
-/// stream ended.
+/// Parses the response of the engine line by line, emits the tokens of this attempt and keeps its end, which
+/// counts only once the response is complete.
 class generate_reader {
   public:
     generate_reader(const execute_request& request, const event_sink& emit, endpoint engine)
         : m_request(request), m_emit(emit), m_engine(std::move(engine)) {}
 
     /// @return false if reading should stop
-    bool append(const char* data, std::size_t size) {
-        m_buffer.append(data, size);
-        if (m_status != 200) {
+    bool append(const std::string& part) {
+        m_buffer += part;
+        if (m_status != status_ok) {
             return true;
         }
         std::size_t start = 0;
@@ -71,9 +72,9 @@
         return true;
     }
 
-    void set_status(int status) { m_status = status; }
-    [[nodiscard]] int status() const { return m_status; }
-    [[nodiscard]] bool done() const { return m_done; }
+    void set_status(unsigned status) { m_status = status; }
+    [[nodiscard]] unsigned status() const { return m_status; }
+    [[nodiscard]] const std::optional<execute_event>& end() const { return m_end; }
     [[nodiscard]] bool caller_gone() const { return m_caller_gone; }
     [[nodiscard]] const std::string& unparsed() const { return m_buffer; }
 
@@ -90,36 +91,33 @@
         }
         execute_event event{m_request.id, m_request.attempt, {}, {}};
         if (parsed.value("done", false)) {
-            m_done = true;
             // The engine counts only the tokens of this attempt.
             const auto& work = std::get<generate_work>(m_request.work);
             const token_count earlier_tokens(static_cast<std::int64_t>(work.resume_from.value()));
             event.event =
                 generation_end{earlier_tokens + token_count(parsed.value("tokens", std::int64_t{0})),
                                token_count(parsed.value("cached_prompt_tokens", std::int64_t{0})), m_engine};
-        } else {
-            event.event =
-                token_event{token_index(parsed.value("index", std::uint64_t{0})), parsed.value("text", "")};
-        }
-        if (!m_emit(event)) {
-            m_caller_gone = true;
-            return false;
+            m_end = std::move(event);
+            return true;
         }
-        return !m_done;
+        event.event =
+            token_event{token_index(parsed.value("index", std::uint64_t{0})), parsed.value("text", "")};
+        m_caller_gone = !m_emit(event);
+        return !m_caller_gone;
     }
 
     const execute_request& m_request;
     const event_sink& m_emit;
     endpoint m_engine;
     std::string m_buffer;
-    int m_status = 0;
-    bool m_done = false;
+    unsigned m_status = 0;
+    std::optional<execute_event> m_end;
     bool m_caller_gone = false;
 };
 
 /// Converts an HTTP error status of the engine to a refusal; the engine sends one only for a request that did
 /// not run.
-refusal refusal_of_status(int status, const std::string& body) {
+refusal refusal_of_status(unsigned status, const std::string& body) {
     constexpr milliseconds retry_delay{200};
     if (status == status_too_many) {
         return {fail(errc::backend_overloaded, body), run_state::not_run, retry_delay};
@@ -138,37 +136,21 @@
     void run(const execute_request& request, const event_sink& emit) {
         const auto& work = std::get<generate_work>(request.work);
         generate_reader reader(request, emit, m_engine);
-        httplib::Request http;
-        http.method = "POST";
-        http.path = "/v1/generate";
-        http.body = generate_body(request, work).dump();
-        http.set_header("Content-Type", "application/json");
-        http.response_handler = [&reader](const httplib::Response& response) {
-            reader.set_status(response.status);
-            return true;
-        };
-        http.content_receiver = [&reader](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-            return reader.append(data, size);
-        };
-        httplib::Response response;
-        httplib::Error failure = httplib::Error::Success;
-        {
-            // Each stream has its own connection, because the engine may end a broken stream by closing it.
-            const auto client = m_streams->make_client();
-            client->send(http, response, failure);
-        }
-        finish(request, emit, reader, failure);
+        net::response_sink sink;
+        sink.head = [&reader](const http::response_head& head) { reader.set_status(head.status); };
+        sink.body = [&reader](const std::string& part) { return reader.append(part); };
+        // Each stream has its own connection, because the engine may end a broken stream by closing it.
+        const auto read = m_streams->make_client()->call(
+            json_request("/v1/generate", generate_body(request, work)), std::move(sink));
+        finish(request, emit, reader, read);
     }
 
     result<backend_status> poll() {
         const auto client = m_control->acquire();
-        const auto load = client->Get("/v1/load");
-        const auto state = load ? client->Get("/v1/state") : httplib::Result(nullptr, load.error());
-        if (!load || !state || load->status != 200 || state->status != 200) {
-            return fail(errc::backend_unreachable, m_engine.str());
-        }
+        BOOST_OUTCOME_TRY(load, read(*client, "/v1/load"));
+        BOOST_OUTCOME_TRY(state, read(*client, "/v1/state"));
         try {
-            return parse_status(json::parse(load->body), json::parse(state->body));
+            return parse_status(json::parse(load), json::parse(state));
         } catch (const json::exception& e) {
             return fail(errc::backend_broken, m_engine.str() + ": " + e.what());
         }
@@ -185,49 +167,70 @@
                            {"model", order.target.model.str()},
                            {"version", order.target.version.str()},
                            {"adapters", adapters}};
-        const auto answer = m_control->acquire()->Post("/v1/orders", body.dump(), "application/json");
+        const auto answer = m_control->acquire()->call(json_request("/v1/orders", body));
         if (!answer) {
-            return fail(errc::backend_unreachable, m_engine.str());
+            return fail(errc::backend_unreachable, answer.error().detail);
         }
-        switch (answer->status) {
+        const http::response& response = answer.value();
+        switch (response.head.status) {
         case status_accepted:
             return success();
         case status_conflict:
-            return fail(errc::fencing_number_stale, answer->body);
+            return fail(errc::fencing_number_stale, response.body);
         case status_locked:
-            return fail(errc::order_in_progress, answer->body);
+            return fail(errc::order_in_progress, response.body);
         default:
-            return fail(errc::order_failed, "status " + std::to_string(answer->status) + ": " + answer->body);
+            return fail(errc::order_failed,
+                        "status " + std::to_string(response.head.status) + ": " + response.body);
         }
     }
 
   private:
-    void finish(const execute_request& request, const event_sink& emit, const generate_reader& reader,
-                httplib::Error failure) {
-        if (reader.done()) {
-            return;
+    static http::request json_request(const std::string& path, const json& body) {
+        return {"POST", path, {{"Content-Type", "application/json"}}, body.dump()};
+    }
+
+    result<std::string> read(net::blocking_http_client& client, const std::string& path) const {
+        auto answer = client.call({"GET", path, {}, ""});
+        if (!answer || answer.value().head.status != status_ok) {
+            return fail(errc::backend_unreachable, m_engine.str());
         }
+        return std::move(answer.value().body);
+    }
+
+    /// Emits the last event of an attempt.
+    /// @param read whether the response is complete, or was left early by the reader
+    void finish(const execute_request& request, const event_sink& emit, const generate_reader& reader,
+                const result<void>& read) {
         if (reader.caller_gone()) {
             cancel(request);
             return;
         }
-        refusal refused;
-        if (failure == httplib::Error::Connection) {
-            refused = {fail(errc::backend_unreachable, m_engine.str()), run_state::not_run, {}};
-        } else if (reader.status() != 0 && reader.status() != 200) {
-            refused = refusal_of_status(reader.status(), reader.unparsed());
-        } else {
-            refused = {
-                fail(errc::backend_broken, "the stream of " + m_engine.str() + " ended before its end event"),
+        if (read && reader.end()) {
+            (void)emit(*reader.end());
+            return;
+        }
+        (void)emit({request.id, request.attempt, refusal_of(reader, read), {}});
+    }
+
+    refusal refusal_of(const generate_reader& reader, const result<void>& read) const {
+        if (!read && net::nothing_was_sent(read.error())) {
+            return {fail(errc::backend_unreachable, read.error().detail), run_state::not_run, {}};
+        }
+        if (!read) {
+            return {fail(errc::backend_broken, read.error().detail), run_state::ran, {}};
+        }
+        if (reader.status() != status_ok) {
+            return refusal_of_status(reader.status(), reader.unparsed());
+        }
+        return {fail(errc::backend_broken, "the stream of " + m_engine.str() + " ended before its end event"),
                 run_state::ran,
                 {}};
-        }
-        (void)emit({request.id, request.attempt, refused, {}});
     }
 
     void cancel(const execute_request& request) {
         const json body = {{"request_id", request.id.str()}, {"attempt", request.attempt.value()}};
-        (void)m_control->acquire()->Post("/v1/cancel", body.dump(), "application/json");
+        (void)m_control->acquire()->call(json_request("/v1/cancel", body));
     }
 
     static backend_status parse_status(const json& load, const json& state) {
--- a/src/agent/plain_service_backend.cpp
+++ b/src/agent/plain_service_backend.cpp
@@ -10,7 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int status_unavailable = 503;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
 
 class plain_service_client {
   public:
@@ -19,21 +20,26 @@
 
     void run(const execute_request& request, const event_sink& emit) {
         const auto& work = std::get<call_work>(request.work);
-        const std::string path = "/v1/call/" + work.operation.str();
-        const httplib::Headers headers = {{"X-Request-Id", request.id.str()},
-                                          {"X-Idempotency-Key", work.key.str()}};
-        httplib::Result answer = work.repeatable
-                                     ? m_pool->acquire()->Post(path, headers, work.body, work.content_type)
-                                     : call_once(path, headers, work);
+        http::request message{"POST",
+                              "/v1/call/" + work.operation.str(),
+                              {{"X-Request-Id", request.id.str()},
+                               {"X-Idempotency-Key", work.key.str()},
+                               {"Content-Type", work.content_type}},
+                              work.body};
+        // A call that must not run twice gets a connection of its own. The peer may close a kept-alive
+        // connection while the request is in transit, which leaves the outcome unknown, whereas a failure to
+        // connect proves that nothing was sent.
+        const auto answer = work.repeatable ? m_pool->acquire()->call(std::move(message))
+                                            : m_pool->make_client()->call(std::move(message));
         (void)emit({request.id, request.attempt, make_event(request, work, answer), {}});
     }
 
     result<backend_status> poll() {
-        const auto answer = m_pool->acquire()->Get("/v1/load");
-        if (!answer || answer->status != 200) {
+        const auto answer = m_pool->acquire()->call({"GET", "/v1/load", {}, ""});
+        if (!answer || answer.value().head.status != status_ok) {
             return fail(errc::backend_unreachable, m_target.str());
         }
-        const json load = json::parse(answer->body, nullptr, false);
+        const json load = json::parse(answer.value().body, nullptr, false);
         if (load.is_discarded() || !load.is_object()) {
             return fail(errc::backend_broken, m_target.str() + ": expected a JSON object from /v1/load");
         }
@@ -46,42 +52,34 @@
     }
 
   private:
-    /// Sends the call on a new connection. The peer may close a kept-alive connection while the request is in
-    /// transit, which leaves the outcome unknown, whereas a failure to connect proves that nothing was sent.
-    httplib::Result call_once(const std::string& path, const httplib::Headers& headers,
-                              const call_work& work) {
-        const auto client = m_pool->make_client();
-        client->set_keep_alive(false);
-        return client->Post(path, headers, work.body, work.content_type);
-    }
-
     decltype(execute_event::event) make_event(const execute_request& request, const call_work& work,
-                                              const httplib::Result& answer) const {
+                                              const result<http::response>& answer) const {
         if (!answer) {
-            const bool nothing_sent = answer.error() == httplib::Error::Connection;
+            const bool not_sent = net::nothing_was_sent(answer.error());
             return refusal{
-                fail(nothing_sent ? errc::backend_unreachable : errc::backend_broken, m_target.str()),
-                nothing_sent ? run_state::not_run : run_state::outcome_unknown,
+                fail(not_sent ? errc::backend_unreachable : errc::backend_broken, answer.error().detail),
+                not_sent ? run_state::not_run : run_state::outcome_unknown,
                 {}};
         }
-        if (answer->status == status_unavailable) {
+        const http::response& response = answer.value();
+        if (response.head.status == status_unavailable) {
             return refusal{fail(errc::backend_overloaded, m_target.str()), run_state::not_run, {}};
         }
-        if (!belongs_to(request, *answer)) {
+        if (!belongs_to(request, response)) {
             return refusal{fail(errc::stream_foreign, m_target.str() + " answered a request other than " +
                                                           request.id.str() + " (" + work.operation.str() +
                                                           ")"),
                            run_state::outcome_unknown,
                            {}};
         }
-        return plain_answer{static_cast<unsigned>(answer->status), answer->get_header_value("Content-Type"),
-                            answer->body};
+        const std::string* type = response.head.headers.find("content-type");
+        return plain_answer{response.head.status, type == nullptr ? "" : *type, response.body};
     }
 
     /// Whether an answer belongs to the request; an answer without a request id is accepted.
-    static bool belongs_to(const execute_request& request, const httplib::Response& answer) {
-        if (answer.has_header("X-Request-Id")) {
-            return answer.get_header_value("X-Request-Id") == request.id.str();
+    static bool belongs_to(const execute_request& request, const http::response& answer) {
+        if (const std::string* id = answer.head.headers.find("x-request-id")) {
+            return *id == request.id.str();
         }
         const json body = json::parse(answer.body, nullptr, false);
         return body.is_discarded() || !body.is_object() || !body.contains("request_id") ||
