Read the answers of the object API and of entry hosts by the same rules

Operators and processes of the product's own deployment took broken answers of the platform's object API for objects: a value whose length could not be read, or that held chunk sizes. A conditional write with a broken answer counted as refused by the protocol instead of unanswered, although it may have taken effect.

--- a/src/cli/config_command.cpp
+++ b/src/cli/config_command.cpp
@@ -1,12 +1,12 @@
 #include "cli/config_command.hpp"
 
 #include "cli/config_actions.hpp"
+#include "net/blocking_http_client.hpp"
 #include "settings/toml_reader.hpp"
 
 #include <parsleypitch/platform/http_object_store.hpp>
 
 #include <cxxopts.hpp>
-#include <httplib.h>
 
 #include <array>
 #include <iostream>
@@ -198,19 +198,12 @@
 }
 
 result<std::string> read_health_over_http(const endpoint& host) {
-    const std::size_t colon = host.str().rfind(':');
-    std::string address = host.str().substr(0, colon);
-    if (address.front() == '[') {
-        address = address.substr(1, address.size() - 2);
-    }
-    httplib::Client client(address, std::stoi(host.str().substr(colon + 1)));
-    client.set_connection_timeout(health_timeout);
-    client.set_read_timeout(health_timeout);
-    const auto answer = client.Get("/healthz");
+    net::blocking_http_client client(host, {health_timeout, health_timeout});
+    const auto answer = client.call({"GET", "/healthz", {}, ""});
     if (!answer) {
-        return fail(errc::agent_unreachable, host.str() + ": " + httplib::to_string(answer.error()));
+        return fail(errc::agent_unreachable, answer.error().detail);
     }
-    return answer->body;
+    return answer.value().body;
 }
 
 } // namespace detail
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -30,8 +30,8 @@
 
 namespace detail {
 
-/// Fields that a forwarded response needs besides the ones under test.
-inline const std::string sample_fields = "Id: r1\r\nSeal: s\r\n";
+/// Fields that readers of responses need besides the ones under test.
+inline const std::string sample_fields = "Id: r1\r\nSeal: s\r\nX-Object-Version: 1\r\n";
 
 inline std::string sample_head(const std::string& status_line, const std::string& fields) {
     return status_line + "\r\n" + sample_fields + fields + "\r\n";
--- a/tests/unit-object-store.cpp
+++ b/tests/unit-object-store.cpp
@@ -1,4 +1,5 @@
 #include "memory_object_store.hpp"
+#include "sample_server.hpp"
 
 #include <parsleypitch/platform/conditional_writer.hpp>
 #include <parsleypitch/platform/http_object_store.hpp>
@@ -203,4 +204,30 @@
     EXPECT_EQ(m_store.writes(), 0U);
 }
 
+class broken_store_response_fixture : public testing::TestWithParam<response_sample> {};
+
+// Guards against a broken response of the platform that is taken for an object or for a finished write.
+TEST_P(broken_store_response_fixture, read_fails_and_write_counts_as_unanswered) {
+    const sample_server server(GetParam());
+    const object_store store = http_object_store(server.address());
+    EXPECT_EQ(store.get(object_key("a")).error().code, errc::platform_unreachable);
+    EXPECT_EQ(store.put(object_key("a"), "v", object_version(1)).error().code, errc::platform_answer_lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, broken_store_response_fixture, testing::ValuesIn(broken_responses()),
+                         [](const auto& sample) { return sample.param.name; });
+
+class sound_store_response_fixture : public testing::TestWithParam<response_sample> {};
+
+// Guards against an unusual response of the platform that is valid and is not used.
+TEST_P(sound_store_response_fixture, read_returns_the_object) {
+    const sample_server server(GetParam());
+    const auto object = http_object_store(server.address()).get(object_key("a"));
+    ASSERT_TRUE(object) << to_string(object.error());
+    EXPECT_EQ(object.value().bytes, sample_body);
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, sound_store_response_fixture, testing::ValuesIn(sound_responses()),
+                         [](const auto& sample) { return sample.param.name; });
+
 } // namespace parsleypitch
