Name the reason of a broken answer in a counter and one log line

Operators saw "result":"broken" for an answer that was cut, that was no HTTP, or that was no answer of an engine, and had to guess which.

response_fault names what is wrong with a response. The parser and the client report it with a failed call, and the forwarder adds the faults of streams and seals. attempt_ended has the new fields reason and detail, and parsleypitch_broken_responses_total{reason} counts the answers that hosts did not use, to requests as to cache queries, queries for the start of an engine and releases of KV caches.

--- a/include/parsleypitch/http/client.hpp
+++ b/include/parsleypitch/http/client.hpp
@@ -5,6 +5,7 @@
 #include <parsleypitch/core/units.hpp>
 #include <parsleypitch/http/message.hpp>
 #include <parsleypitch/http/parser.hpp>
+#include <parsleypitch/http/response_fault.hpp>
 
 #include <functional>
 #include <limits>
@@ -43,7 +44,7 @@
     ///
     /// `backend_unreachable`, `backend_not_listening` and `backend_overloaded` mean that no byte was sent;
     /// after any other error the server may have received the request.
-    std::function<void(const error&)> failed;
+    std::function<void(const call_failure&)> failed;
     /// @brief Called when the call has a connection, just before its request is written.
     std::function<void()> sent;
 };
--- a/include/parsleypitch/http/parser.hpp
+++ b/include/parsleypitch/http/parser.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleypitch/core/result.hpp>
 #include <parsleypitch/http/message.hpp>
+#include <parsleypitch/http/response_fault.hpp>
 
 #include <memory>
 #include <string>
@@ -54,6 +55,9 @@
 };
 
 /// @brief Parses a single response; each response needs a new parser.
+///
+/// A response is refused if its start line, a field line, its framing or a chunk is invalid by RFC 9110 and
+/// RFC 9112, if its status is outside 100 to 599, or if its body has a transfer coding other than `chunked`.
 class response_parser {
   public:
     /// @param is_head_request the response belongs to a HEAD request and has no body
@@ -70,6 +74,8 @@
     /// @brief Tells the parser that the server has closed the connection.
     /// @return `backend_broken` if the response is incomplete
     [[nodiscard]] result<void> parse_end();
+    /// @brief What is wrong with the response; valid once `parse` or `parse_end` has failed.
+    [[nodiscard]] response_fault fault() const noexcept;
 
     [[nodiscard]] bool head_complete() const noexcept;
     [[nodiscard]] bool complete() const noexcept;
--- a/src/forwarding/cache_poller.cpp
+++ b/src/forwarding/cache_poller.cpp
@@ -117,8 +117,9 @@
         }
         self->schedule_query(id);
     };
-    hooks.failed = [self, state, id](const error& why) {
+    hooks.failed = [self, state, id](const http::call_failure& why) {
         state->timeout();
+        self->m_shared->note_broken(why);
         self->on_query_failed(id, reason_name(why.code));
         self->schedule_query(id);
     };
--- a/src/forwarding/crash_detector.cpp
+++ b/src/forwarding/crash_detector.cpp
@@ -97,8 +97,9 @@
                                                              : std::optional<incarnation>();
         self->on_started_at(engine, born);
     };
-    hooks.failed = [self, state, engine](const error& why) {
+    hooks.failed = [self, shared, state, engine](const http::call_failure& why) {
         state->timeout();
+        shared->note_broken(why);
         self->on_query_failed(engine, why);
     };
     state->timeout = shared->hooks.start_timer(detail::crash_check_timeout, [self, state, engine] {
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -263,7 +263,7 @@
     hooks.head = [self](const http::response_head& head) { self->on_head(head); };
     hooks.body = [self](const std::string& part) { self->on_body(part); };
     hooks.end = [self] { self->on_end(); };
-    hooks.failed = [self](const error& why) { self->on_failed(why); };
+    hooks.failed = [self](const http::call_failure& why) { self->on_failed(why); };
     return hooks;
 }
 
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -55,6 +55,8 @@
         std::string body;
         /// The bytes of the answer that are buffered here.
         buffer_budget::share collected;
+        /// Why the answer could not be read or used.
+        std::optional<http::call_failure> failure;
         http::call_handle call;
     };
 
@@ -87,7 +89,7 @@
     void on_head(const http::response_head& head);
     void on_body(const std::string& part);
     void on_end();
-    void on_failed(const error& why);
+    void on_failed(const http::call_failure& why);
     void on_prefill_end();
     /// Corrects the estimates for the server of the current attempt after its prefill.
     void note_prefill_ended(double took_ms);
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -46,6 +46,8 @@
                                 {"server", ended.server.id},
                                 {"stage", detail::stage_name(ended.stage, ended.source.has_value())},
                                 {"result", outcome},
+                                {"reason", ended.failure ? failure_reason(*ended.failure) : ""},
+                                {"detail", ended.failure ? ended.failure->detail : ""},
                                 {"status", ended.head.status},
                                 {"after_ms", now() - ended.started}});
     }
@@ -224,8 +226,9 @@
     hooks.head = [](const http::response_head&) {};
     hooks.body = [](const std::string&) {};
     hooks.end = [] {};
-    hooks.failed = [log = m_shared->log, id = m_call.id](const error& why) {
-        log->warning("kv_release_failed", {{"request", id}, {"reason", why.detail}});
+    hooks.failed = [shared = m_shared, id = m_call.id](const http::call_failure& why) {
+        shared->note_broken(why);
+        shared->log->warning("kv_release_failed", {{"request", id}, {"reason", why.detail}});
     };
     http::call_options options;
     options.timeout = release_timeout;
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -9,6 +9,9 @@
 
 namespace parsleypitch {
 
+using http::broken_response;
+using http::response_fault;
+
 namespace detail {
 
 /// An engine that writes events of a request for this time does not end by it.
@@ -34,12 +37,13 @@
     const bool must_be_sealed = m_attempt->stage == attempt_stage::whole && detail::is_success(head.status);
     if (must_be_sealed && !m_attempt->metadata.sealed) {
         m_attempt->call.cancel();
-        on_failed(fail(errc::backend_broken, "success response without a seal"));
+        on_failed(broken_response(response_fault::unsealed, "success response without a seal"));
         return;
     }
     if (must_be_sealed && m_attempt->resumes_stream && detail::content_type(head) != m_stream_type) {
         m_attempt->call.cancel();
-        on_failed(fail(errc::backend_broken, "response of another content type than the stream before it"));
+        on_failed(broken_response(response_fault::content_type_changed,
+                                  "response of another content type than the stream before it"));
     }
 }
 
@@ -54,7 +58,7 @@
     m_attempt->body.append(part);
     if (m_attempt->body.size() > static_cast<std::size_t>(http::call_options{}.max_body.value())) {
         m_attempt->call.cancel();
-        on_failed(fail(errc::backend_broken, "response body exceeds the size limit"));
+        on_failed(broken_response(response_fault::body_too_large, "response body exceeds the size limit"));
         return;
     }
     (void)m_attempt->collected.set(size_in_bytes(m_attempt->body));
@@ -62,23 +66,26 @@
 
 void forwarded_request::on_buffer_revoked() {
     m_attempt->call.cancel();
-    on_failed(fail(errc::backend_broken, "responses of all servers together exceed the memory limit"));
+    on_failed(broken_response(response_fault::memory_limit,
+                              "responses of all servers together exceed the memory limit"));
 }
 
 void forwarded_request::on_stream_part(const std::string& part) {
     std::string out;
-    std::optional<error> broken;
+    std::optional<http::call_failure> broken;
     for (stream_event& event : m_events.feed(part)) {
         if (event.id && m_last_event && *event.id <= *m_last_event) {
             continue; // already sent to the caller by an earlier attempt
         }
         if (event.id && m_last_event && *event.id != m_last_event->next()) {
-            broken = fail(errc::stream_gap, "event " + std::to_string(event.id->value()) + " after " +
-                                                std::to_string(m_last_event->value()));
+            broken = {fail(errc::stream_gap, "event " + std::to_string(event.id->value()) + " after " +
+                                                 std::to_string(m_last_event->value())),
+                      response_fault::event_gap};
             break;
         }
         if (!event.id && m_attempt->resumes_stream && !detail::is_comment(event)) {
-            broken = fail(errc::backend_broken, "event without an id in a resumed stream");
+            broken =
+                broken_response(response_fault::event_without_id, "event without an id in a resumed stream");
             break;
         }
         if (event.id) {
@@ -98,7 +105,8 @@
         out.append(event.bytes);
     }
     if (!broken && m_events.partial_event_is_too_large()) {
-        broken = fail(errc::backend_broken, "an event of the stream exceeds the size limit");
+        broken =
+            broken_response(response_fault::event_too_large, "an event of the stream exceeds the size limit");
     }
     if (!out.empty()) {
         forward_events(out);
@@ -190,7 +198,8 @@
     }
     if (detail::is_success(status) && streams()) {
         if (m_events.has_partial_event()) {
-            on_failed(fail(errc::backend_broken, "stream ended with an incomplete event"));
+            on_failed(
+                broken_response(response_fault::incomplete_event, "stream ended with an incomplete event"));
             return;
         }
         const http::response_head head = m_attempt->head;
@@ -246,7 +255,7 @@
     send_continuation(*m_kv_source, server.zone);
 }
 
-void forwarded_request::on_failed(const error& why) {
+void forwarded_request::on_failed(const http::call_failure& why) {
     const bool was_sent = m_attempt->sent;
     const bool is_prefill = m_attempt->stage == attempt_stage::prefill;
     const availability_zone_id zone = m_attempt->server.zone;
@@ -269,6 +278,8 @@
         return;
     }
     note_lost();
+    m_shared->note_broken(why);
+    m_attempt->failure = why;
     finish_attempt(attempt_result::broken);
     after_failure(why, is_prefill ? run_state::not_run : run_state::outcome_unknown);
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -76,7 +76,8 @@
     [[nodiscard]] bool is_orderly_end() const;
     bool parse();
     void finish();
-    void fail_call(const error& why);
+    void fail_call(const call_failure& why);
+    void fail_broken(response_fault fault, const std::string& detail);
 
     std::shared_ptr<client::state> m_owner;
     endpoint m_endpoint;
@@ -112,8 +113,8 @@
     const auto ip = asio::ip::make_address(address.host, code);
     if (code) {
         asio::post(*m_owner->context, [self = shared_from_this()] {
-            self->fail_call(
-                fail(errc::backend_unreachable, self->m_endpoint.str() + ": the host is not an IP address"));
+            self->fail_call({fail(errc::backend_unreachable,
+                                  self->m_endpoint.str() + ": the host is not an IP address")});
         });
         return;
     }
@@ -121,7 +122,7 @@
     // Cancelling a timer does not stop a handler that is already queued, so the state is checked.
     m_timer.async_wait([self = shared_from_this()](const std::error_code& cancelled) {
         if (!cancelled && !self->m_closed && !self->m_connected) {
-            self->fail_call(fail(errc::backend_unreachable, self->m_endpoint.str() + ": connect timeout"));
+            self->fail_call({fail(errc::backend_unreachable, self->m_endpoint.str() + ": connect timeout")});
         }
     });
     m_socket.async_connect(
@@ -135,7 +136,7 @@
             if (failure) {
                 const errc reason = failure == asio::error::connection_refused ? errc::backend_not_listening
                                                                                : errc::backend_unreachable;
-                self->fail_call(fail(reason, self->m_endpoint.str() + ": " + failure.message()));
+                self->fail_call({fail(reason, self->m_endpoint.str() + ": " + failure.message())});
                 return;
             }
             self->m_connected = true;
@@ -178,7 +179,7 @@
     m_timer.async_wait([self = shared_from_this(), call = m_calls](const std::error_code& cancelled) {
         if (!cancelled && self->m_call_active && self->m_calls == call) {
             self->fail_call(
-                fail(errc::backend_silent, self->m_endpoint.str() + ": no complete response in time"));
+                {fail(errc::backend_silent, self->m_endpoint.str() + ": no complete response in time")});
         }
     });
 }
@@ -220,7 +221,7 @@
         return;
     }
     if (code) {
-        fail_call(fail(errc::backend_broken, m_endpoint.str() + ": " + code.message()));
+        fail_broken(response_fault::connection_lost, code.message());
         return;
     }
     m_input.append(m_buffer.data(), bytes);
@@ -231,14 +232,13 @@
 
 void client_connection::on_connection_end() {
     if (!is_orderly_end()) {
-        fail_call(fail(errc::backend_broken, m_endpoint.str() + ": " + m_write_failure.message()));
+        fail_broken(response_fault::connection_lost, m_write_failure.message());
         return;
     }
     const bool ended =
         m_parser->head_complete() && !m_is_unrelated_response && m_parser->parse_end().has_value();
     if (!ended) {
-        fail_call(fail(errc::backend_broken,
-                       m_endpoint.str() + ": connection closed before the end of the response"));
+        fail_broken(response_fault::incomplete, "connection closed before the end of the response");
         return;
     }
     std::string rest = m_parser->take_body();
@@ -264,7 +264,7 @@
     while (!m_input.empty()) {
         const auto consumed = m_parser->parse(m_input);
         if (!consumed) {
-            fail_call(consumed.error());
+            fail_broken(m_parser->fault(), consumed.error().detail);
             return false;
         }
         m_input.erase(0, consumed.value());
@@ -296,8 +296,8 @@
                 return true;
             }
             if (++m_dropped_responses > m_owner->limits.max_dropped_responses) {
-                fail_call(fail(errc::backend_broken,
-                               m_endpoint.str() + ": too many responses that belong to no request"));
+                fail_broken(response_fault::too_many_unrelated,
+                            "too many responses that belong to no request");
                 return false;
             }
             m_is_unrelated_response = false;
@@ -331,7 +331,11 @@
     hooks.end();
 }
 
-void client_connection::fail_call(const error& why) {
+void client_connection::fail_broken(response_fault fault, const std::string& detail) {
+    fail_call(broken_response(fault, m_endpoint.str() + ": " + detail));
+}
+
+void client_connection::fail_call(const call_failure& why) {
     const call_hooks hooks = std::exchange(m_hooks, {});
     const bool active = std::exchange(m_call_active, false);
     close();
@@ -395,7 +399,7 @@
         auto active = std::make_shared<bool>(true);
         asio::post(*m_state->context, [active, target, failed = std::move(hooks.failed)] {
             if (*active) {
-                failed(fail(errc::backend_overloaded, target.str() + ": connection limit reached"));
+                failed({fail(errc::backend_overloaded, target.str() + ": connection limit reached")});
             }
         });
         return call_handle([active] { *active = false; });
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -28,7 +28,7 @@
     response_head head;
     std::string body;
     std::uint64_t body_size = 0;
-    /// Ten times the major version of HTTP plus the minor one.
+    /// Ten times the major version of HTTP plus the minor one; 0 until the start line has been read.
     int version = 0;
 
   private:
@@ -153,6 +153,27 @@
            equals_ignoring_case(codings.front(), "chunked");
 }
 
+/// The fault of a response that Beast does not accept.
+response_fault fault_of(const beast::error_code& code, const collecting_parser<false>& parser) {
+    if (code == beast::http::error::body_limit) {
+        return response_fault::body_too_large;
+    }
+    if (parser.is_header_done()) {
+        return response_fault::malformed_chunk;
+    }
+    if (code == beast::http::error::header_limit) {
+        return response_fault::header_too_large;
+    }
+    const bool in_status_line = parser.version == 0;
+    if (in_status_line || code == beast::http::error::bad_status) {
+        return response_fault::malformed_status_line;
+    }
+    if (code == beast::http::error::bad_content_length || code == beast::http::error::bad_transfer_encoding) {
+        return response_fault::invalid_framing;
+    }
+    return response_fault::malformed_field;
+}
+
 } // namespace detail
 
 struct request_parser::state {
@@ -228,9 +249,16 @@
         parser.skip(head_request);
     }
 
+    /// Records why the response is refused.
+    error refuse(response_fault why, std::string detail) {
+        fault = why;
+        return fail(errc::backend_broken, std::move(detail));
+    }
+
     detail::collecting_parser<false> parser;
     byte_count line_limit;
     bool is_head_request;
+    response_fault fault = response_fault::incomplete;
 };
 
 response_parser::response_parser(message_limits limits, bool is_head_request)
@@ -245,15 +273,16 @@
     const bool head_was_complete = m_state->parser.is_header_done();
     const auto code = detail::feed(m_state->parser, input, consumed);
     if (code) {
-        return fail(errc::backend_broken, code.message());
+        return m_state->refuse(detail::fault_of(code, m_state->parser), code.message());
     }
     if (detail::line_is_too_long(m_state->parser, input.size() - consumed, m_state->line_limit)) {
-        return fail(errc::backend_broken, "chunk size or trailer line exceeds the size limit");
+        return m_state->refuse(response_fault::malformed_chunk,
+                               "chunk size or trailer line exceeds the size limit");
     }
     if (!head_was_complete && m_state->parser.is_header_done()) {
         if (!detail::has_no_body(m_state->parser.head.status, m_state->is_head_request) &&
             !detail::has_removable_coding(m_state->parser)) {
-            return fail(errc::backend_broken, "transfer coding other than chunked");
+            return m_state->refuse(response_fault::invalid_framing, "transfer coding other than chunked");
         }
         m_state->parser.head.keep_alive = m_state->parser.keep_alive();
         m_state->parser.head.ends_with_connection = m_state->parser.need_eof();
@@ -265,11 +294,16 @@
     detail::beast::error_code code;
     m_state->parser.put_eof(code);
     if (code || !m_state->parser.is_done()) {
-        return fail(errc::backend_broken, "connection closed before the end of the response");
+        return m_state->refuse(response_fault::incomplete,
+                               "connection closed before the end of the response");
     }
     return success();
 }
 
+response_fault response_parser::fault() const noexcept {
+    return m_state->fault;
+}
+
 bool response_parser::head_complete() const noexcept {
     return m_state->parser.is_header_done();
 }
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -81,22 +81,7 @@
         forwarding_hooks hooks;
         hooks.start_call = [this](const endpoint& to, std::string bytes, http::call_options options,
                                   http::call_hooks call) {
-            auto made = std::make_shared<recorded_call>();
-            *made = {to, std::move(bytes), options, std::move(call)};
-            if (made->has("/cache")) {
-                m_cache_queries.push_back(made);
-                return http::call_handle([] {});
-            }
-            if (made->has("/start")) {
-                m_start_queries.push_back(made);
-                return http::call_handle([] {});
-            }
-            m_calls.push_back(made);
-            return http::call_handle([made] {
-                made->cancelled = true;
-                made->over = true;
-                made->hooks = {};
-            });
+            return start_call(to, std::move(bytes), options, std::move(call));
         };
         hooks.start_timer = [this](duration delay, std::function<void()> task) -> timer_cancel {
             auto timer = std::make_shared<manual_timer>(manual_timer{m_now + delay, std::move(task)});
@@ -108,12 +93,33 @@
             m_began.emplace_back(account, began);
         };
         hooks.random = [](std::uint64_t) { return 0; };
-        m_log = std::make_shared<event_log>(event_log_options{.descriptor = -1});
+        m_log = std::make_shared<event_log>(m_log_options);
         m_metrics = std::make_shared<metrics_registry>();
         m_forwarder = std::make_unique<forwarder>(protocol(), hooks, m_policy, availability_zone_id("z1"),
                                                   m_log, m_metrics);
     }
 
+    /// Records a call; other fixtures send it.
+    virtual http::call_handle start_call(const endpoint& to, std::string bytes, http::call_options options,
+                                         http::call_hooks call) {
+        auto made = std::make_shared<recorded_call>();
+        *made = {to, std::move(bytes), options, std::move(call)};
+        if (made->has("/cache")) {
+            m_cache_queries.push_back(made);
+            return http::call_handle([] {});
+        }
+        if (made->has("/start")) {
+            m_start_queries.push_back(made);
+            return http::call_handle([] {});
+        }
+        m_calls.push_back(made);
+        return http::call_handle([made] {
+            made->cancelled = true;
+            made->over = true;
+            made->hooks = {};
+        });
+    }
+
     static backend_protocol protocol() {
         backend_protocol p;
         p.decode_call = [](http::request message) -> result<inbound_call> {
@@ -280,7 +286,7 @@
     std::shared_ptr<recorded_exchange> send(const std::string& target,
                                             const std::vector<http::header_field>& extra = {}) {
         http::request message{
-            "POST", target, {{"host", "h"}, {"id", "r1"}, {"caller-timeout", "3000"}}, "body", true};
+            "POST", target, {{"host", "h"}, {"id", "r1"}, {"caller-timeout", "3000"}}, m_body, true};
         for (const http::header_field& field : extra) {
             message.headers.set(field.name, field.value);
         }
@@ -329,7 +335,7 @@
         auto& newest = *m_calls.back();
         newest.over = true;
         const http::call_hooks hooks = newest.hooks;
-        hooks.failed(fail(code, "failed by the test"));
+        hooks.failed({fail(code, "failed by the test")});
     }
     void advance_time(duration time) {
         const time_point until = m_now + time;
@@ -369,6 +375,10 @@
     std::vector<std::shared_ptr<recorded_call>> m_cache_queries;
     /// Queries for the start of an engine, kept apart too.
     std::vector<std::shared_ptr<recorded_call>> m_start_queries;
+    /// Body of the requests that callers send.
+    std::string m_body = "body";
+    /// Output of the log; by default, lines are dropped.
+    event_log_options m_log_options{.descriptor = -1};
     std::shared_ptr<event_log> m_log;
     std::shared_ptr<metrics_registry> m_metrics;
     /// Requests of accounts that began to run.
--- a/tests/http_client_fixture.hpp
+++ b/tests/http_client_fixture.hpp
@@ -35,7 +35,10 @@
         hooks.head = [this](const response_head& head) { m_events += std::to_string(head.status) + " "; };
         hooks.body = [this](const std::string& part) { m_events += "[" + part + "] "; };
         hooks.end = [this] { m_events += "end "; };
-        hooks.failed = [this](const error& why) { m_events += reason_name(why.code) + " "; };
+        hooks.failed = [this](const call_failure& why) {
+            m_events += reason_name(why.code) + " ";
+            m_fault = why.fault;
+        };
         return m_client->start(address(), request, options, std::move(hooks));
     }
     tcp::socket accept() {
@@ -70,6 +73,8 @@
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
     std::unique_ptr<client> m_client;
     std::string m_events;
+    /// Fault of the response to the call that failed last.
+    std::optional<response_fault> m_fault;
 };
 
 } // namespace parsleypitch::http
--- a/tests/load_harness.hpp
+++ b/tests/load_harness.hpp
@@ -343,7 +343,7 @@
         const std::int64_t tokens = std::stoll(bytes.substr(bytes.find("tokens: ") + 8));
         if (m_losses.contains(to)) {
             return http::call_handle(at(m_now, [failed = std::move(call.failed)] {
-                failed(fail(errc::backend_not_listening, "the engine is gone"));
+                failed({fail(errc::backend_not_listening, "the engine is gone")});
             }));
         }
         time_point& free_at = m_engine_free_at[to];
@@ -376,7 +376,7 @@
         m_engine_free_at.erase(engine);
         for (auto& [number, call] : std::exchange(m_running[engine], {})) {
             call.cancel();
-            call.hooks.failed(fail(errc::backend_broken, "the engine has ended"));
+            call.hooks.failed({fail(errc::backend_broken, "the engine has ended")});
         }
     }
 
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <parsleypitch/http/response_fault.hpp>
+
 #include <ostream>
 #include <string>
 #include <utility>
@@ -19,6 +21,8 @@
     std::string name;
     std::string bytes;
     connection_end end = connection_end::kept_open;
+    /// What a reader finds wrong with a broken response.
+    http::response_fault fault = http::response_fault::incomplete;
 };
 
 inline std::ostream& operator<<(std::ostream& out, const response_sample& sample) {
@@ -56,6 +60,14 @@
     return with_framing(std::move(name), "Transfer-Encoding: chunked\r\n", chunks);
 }
 
+inline std::vector<response_sample> with_fault(http::response_fault fault,
+                                               std::vector<response_sample> samples) {
+    for (response_sample& sample : samples) {
+        sample.fault = fault;
+    }
+    return samples;
+}
+
 inline void append(std::vector<response_sample>& to, std::vector<response_sample> samples) {
     to.insert(to.end(), samples.begin(), samples.end());
 }
@@ -88,6 +100,8 @@
         with_status_line("nul_in_the_reason", std::string("HTTP/1.1 200 O\0K", 16)),
         with_status_line("carriage_return_in_the_reason", "HTTP/1.1 200 O\rK"),
         with_status_line("delete_in_the_reason", "HTTP/1.1 200 O\x7fK"),
+        {"lines_end_without_carriage_return",
+         "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 2\n\n" + sample_body, connection_end::closed},
         {"switching_protocols",
          detail::sample_head("HTTP/1.1 101 Switching Protocols", "Upgrade: echo\r\nConnection: upgrade\r\n") +
              sample_body},
@@ -120,8 +134,6 @@
         with_field("line_feed_in_a_value", "X-Name: a\nX-Other: b"),
         with_field("delete_in_a_value", "X-Name: a\x7f"
                                         "b"),
-        {"lines_end_without_carriage_return",
-         "HTTP/1.1 200 OK\nId: r1\nSeal: s\nContent-Length: 2\n\n" + sample_body, connection_end::closed},
     };
 }
 
@@ -181,37 +193,55 @@
     };
 }
 
-/// Responses that end before they are complete (RFC 9112, 8).
-inline std::vector<response_sample> incomplete_responses() {
+/// Responses whose connection is closed before they are complete (RFC 9112, 8).
+inline std::vector<response_sample> truncated_responses() {
+    const std::string status_line = "HTTP/1.1 200 OK";
+    const std::string chunked = detail::sample_head(status_line, "Transfer-Encoding: chunked\r\n");
+    std::vector<response_sample> samples = {
+        {"nothing", ""},
+        {"head_cut", status_line + "\r\n" + detail::sample_fields},
+        {"only_an_interim_response", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"body_shorter_than_its_length",
+         detail::sample_head(status_line, "Content-Length: 9\r\n") + sample_body},
+        {"chunk_cut", chunked + "4\r\nok"},
+        {"chunks_without_the_last_one", chunked + "2\r\nok\r\n"},
+        {"chunks_cut_in_the_trailer_section", chunked + "2\r\nok\r\n0\r\nX-Name: 1\r\n"},
+        {"chunks_without_the_final_line_end", chunked + "2\r\nok\r\n0\r\n"},
+    };
+    for (response_sample& sample : samples) {
+        sample.end = connection_end::closed;
+    }
+    return samples;
+}
+
+/// Responses whose connection is reset before they are complete.
+inline std::vector<response_sample> reset_responses() {
     using detail::sample_head;
     const std::string status_line = "HTTP/1.1 200 OK";
-    const std::string with_length = sample_head(status_line, "Content-Length: 9\r\n") + sample_body;
-    const std::string chunked = sample_head(status_line, "Transfer-Encoding: chunked\r\n");
-    const std::string without_length = sample_head(status_line, "") + sample_body;
-    return {
-        {"nothing_before_the_close", "", connection_end::closed},
-        {"nothing_before_the_reset", "", connection_end::reset},
-        {"head_cut_by_the_close", status_line + "\r\n" + detail::sample_fields, connection_end::closed},
-        {"only_an_interim_response", "HTTP/1.1 100 Continue\r\n\r\n", connection_end::closed},
-        {"body_shorter_than_its_length", with_length, connection_end::closed},
-        {"body_with_a_length_cut_by_a_reset", with_length, connection_end::reset},
-        {"body_without_a_length_cut_by_a_reset", without_length, connection_end::reset},
-        {"chunk_cut_by_the_close", chunked + "4\r\nok", connection_end::closed},
-        {"chunks_without_the_last_one", chunked + "2\r\nok\r\n", connection_end::closed},
-        {"chunks_cut_by_a_reset", chunked + "2\r\nok\r\n", connection_end::reset},
-        {"chunks_cut_in_the_trailer_section", chunked + "2\r\nok\r\n0\r\nX-Name: 1\r\n",
-         connection_end::closed},
-        {"chunks_without_the_final_line_end", chunked + "2\r\nok\r\n0\r\n", connection_end::closed},
+    std::vector<response_sample> samples = {
+        {"nothing_before_a_reset", ""},
+        {"body_with_a_length_cut_by_a_reset",
+         sample_head(status_line, "Content-Length: 9\r\n") + sample_body},
+        {"body_without_a_length_cut_by_a_reset", sample_head(status_line, "") + sample_body},
+        {"chunks_cut_by_a_reset", sample_head(status_line, "Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n"},
     };
+    for (response_sample& sample : samples) {
+        sample.end = connection_end::reset;
+    }
+    return samples;
 }
 
 /// All responses that must not reach a caller.
 inline std::vector<response_sample> broken_responses() {
-    std::vector<response_sample> all = broken_status_lines();
-    detail::append(all, broken_field_lines());
-    detail::append(all, broken_framing());
-    detail::append(all, broken_chunks());
-    detail::append(all, incomplete_responses());
+    using detail::with_fault;
+    using http::response_fault;
+    std::vector<response_sample> all;
+    detail::append(all, with_fault(response_fault::malformed_status_line, broken_status_lines()));
+    detail::append(all, with_fault(response_fault::malformed_field, broken_field_lines()));
+    detail::append(all, with_fault(response_fault::invalid_framing, broken_framing()));
+    detail::append(all, with_fault(response_fault::malformed_chunk, broken_chunks()));
+    detail::append(all, with_fault(response_fault::incomplete, truncated_responses()));
+    detail::append(all, with_fault(response_fault::connection_lost, reset_responses()));
     return all;
 }
 
--- a/tests/sample_server.hpp
+++ b/tests/sample_server.hpp
@@ -16,12 +16,19 @@
 
 namespace parsleypitch {
 
+/// When a stand-in sends its response.
+enum class response_time {
+    after_the_request,
+    /// After the head of the request, whose body stays unread.
+    early,
+};
+
 /// A stand-in for a server that sends the bytes of a sample to the first request of each connection and then
 /// ends the connection. It has a thread of its own, for clients that block.
 class sample_server {
   public:
-    explicit sample_server(response_sample sample)
-        : m_sample(std::move(sample)), m_thread([this] { serve(); }) {}
+    explicit sample_server(response_sample sample, response_time when = response_time::after_the_request)
+        : m_sample(std::move(sample)), m_response_time(when), m_thread([this] { serve(); }) {}
     ~sample_server() {
         m_stopping = true;
         tcp::socket wake(m_context);
@@ -65,11 +72,11 @@
         }
     }
 
-    /// Reads a request with its body, because closing a connection with unread bytes resets it.
-    static void read_request(tcp::socket& socket, std::error_code& ended) {
+    /// Reads a request. Closing a connection with unread bytes would reset it.
+    void read_request(tcp::socket& socket, std::error_code& ended) const {
         asio::streambuf request;
         const std::size_t head_size = asio::read_until(socket, request, "\r\n\r\n", ended);
-        if (ended) {
+        if (ended || m_response_time == response_time::early) {
             return;
         }
         const std::string head(asio::buffers_begin(request.data()),
@@ -84,6 +91,7 @@
     }
 
     response_sample m_sample;
+    response_time m_response_time;
     asio::io_context m_context{1};
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
     std::atomic<bool> m_stopping = false;
--- a/tests/unit-broken-responses.cpp
+++ b/tests/unit-broken-responses.cpp
@@ -36,6 +36,7 @@
 TEST_P(broken_response_fixture, call_fails_and_its_connection_is_not_used_again) {
     call();
     EXPECT_TRUE(m_events.ends_with(" backend_broken ")) << m_events;
+    EXPECT_EQ(m_fault, GetParam().fault);
     start();
     EXPECT_EQ(m_client->connections_opened(), 2U);
 }
@@ -101,6 +102,7 @@
     run_until({"]"});
     reset_connection();
     EXPECT_EQ(outcome(), "sent 200 [part] backend_broken ");
+    EXPECT_EQ(m_fault, response_fault::connection_lost);
 }
 
 // Guards against the same when body and reset arrive together.
--- a/tests/unit-forwarder-quarantine.cpp
+++ b/tests/unit-forwarder-quarantine.cpp
@@ -33,7 +33,7 @@
         if (!m_start_queries.empty()) {
             const auto query = std::exchange(m_start_queries.back()->hooks, {});
             if (query.failed) {
-                query.failed(fail(errc::backend_not_listening, "closed port"));
+                query.failed({fail(errc::backend_not_listening, "closed port")});
             }
         }
         advance_time(milliseconds(700)); // the engine is no longer avoided
