Count an order as accepted only once its answer is complete

The holder of the lease counted an order to an engine, or to the service of duties, as accepted when the head of the answer had come, also if the answer then broke off. Operators saw one order both accepted and unanswered, and an order for engines counted as taken.

Cause: serving_roles and serving_scaling decided in the hook for the head.

Evidence: order_whose_answer_breaks_off_is_not_counted_as_accepted of both fixtures, whose stand-ins end a chunked 202 and 200 without the last chunk.

Fix: both decide at the end of the answer; a call that fails after the head is unanswered.

--- a/include/parsleypitch/serving/serving_roles.hpp
+++ b/include/parsleypitch/serving/serving_roles.hpp
@@ -65,6 +65,8 @@
     void update_term(time_point now);
     void send_orders(time_point now);
     void send_order(const role_change& change);
+    /// Records the complete answer of an engine to an order.
+    void note_answer(const role_order& order, const http::response_head& answer);
     void observe_demand(const std::map<backend_service_id, token_totals>& demand, duration period);
     [[nodiscard]] bool may_send_orders(time_point now) const;
 
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -239,19 +239,10 @@
             handle->cancel();
         }
     };
-    hooks.head = [self, order](const http::response_head& head) {
-        const role_order_result answer = self->m_protocol.decode_role_order_response(head);
-        const bool accepted =
-            answer == role_order_result::accepted || answer == role_order_result::already_in_role;
-        self->m_metrics->count(metric_name("parsleypitch_orders_total"),
-                               {{"accepted", accepted ? "1" : "0"}});
-        self->m_log->info("order_answered", {{"engine", order.target},
-                                             {"to", to_string(order.to)},
-                                             {"accepted", accepted},
-                                             {"status", head.status}});
-    };
+    const auto answer = std::make_shared<http::response_head>();
+    hooks.head = [answer](const http::response_head& head) { *answer = head; };
     hooks.body = [](const std::string&) {};
-    hooks.end = [] {};
+    hooks.end = [self, order, answer] { self->note_answer(order, *answer); };
     hooks.failed = [self, order](const error& why) {
         self->m_log->warning("order_unanswered", {{"engine", order.target}, {"reason", why.detail}});
     };
@@ -262,6 +253,17 @@
     *handle = m_client->start(change.address, http::serialize(message), options, std::move(hooks));
 }
 
+void serving_roles::note_answer(const role_order& order, const http::response_head& answer) {
+    const role_order_result decoded = m_protocol.decode_role_order_response(answer);
+    const bool accepted =
+        decoded == role_order_result::accepted || decoded == role_order_result::already_in_role;
+    m_metrics->count(metric_name("parsleypitch_orders_total"), {{"accepted", accepted ? "1" : "0"}});
+    m_log->info("order_answered", {{"engine", order.target},
+                                   {"to", to_string(order.to)},
+                                   {"accepted", accepted},
+                                   {"status", answer.status}});
+}
+
 service_name serving_roles_name() {
     return service_name("serving_roles");
 }
--- a/src/serving/serving_scaling.cpp
+++ b/src/serving/serving_scaling.cpp
@@ -221,18 +221,19 @@
             end(false);
         }
     };
-    hooks.head = [self, order, end](const http::response_head& head) {
-        const bool accepted = head.status == status_ok;
+    const auto status = std::make_shared<unsigned>(0);
+    hooks.head = [status](const http::response_head& head) { *status = head.status; };
+    hooks.body = [](const std::string&) {};
+    hooks.end = [self, order, end, status] {
+        const bool accepted = *status == status_ok;
         self->m_log->info("scaling_answered", {{"service", order.service},
                                                {"zone", order.zone},
                                                {"desired", order.desired},
                                                {"accepted", accepted},
-                                               {"status", head.status},
+                                               {"status", *status},
                                                {"term", order.term}});
         end(accepted);
     };
-    hooks.body = [](const std::string&) {};
-    hooks.end = [] {};
     hooks.failed = [self, order, end](const error& why) {
         self->m_log->warning("scaling_unanswered", {{"service", order.service},
                                                     {"zone", order.zone},
--- a/tests/unit-serving-roles.cpp
+++ b/tests/unit-serving-roles.cpp
@@ -150,6 +150,11 @@
         m_orders.push_back({*headers.find("holder"), std::stoull(*headers.find("term")), now()});
         http::response accepted;
         accepted.head.status = 202;
+        if (m_answers_break_off) {
+            exchange->begin(accepted.head);
+            exchange->abort();
+            return;
+        }
         exchange->respond(accepted);
     }
     [[nodiscard]] time_point now() const { return time_point(milliseconds(m_now_ms.load())); }
@@ -228,6 +233,7 @@
     std::thread m_engine_thread;
     std::mutex m_mutex;
     std::vector<received_order> m_orders;
+    std::atomic<bool> m_answers_break_off = false;
     std::map<std::string, running_host> m_hosts;
 };
 
@@ -247,6 +253,19 @@
     }
 }
 
+// Guards against an order that counts as accepted although its answer broke off.
+TEST_F(serving_roles_fixture, order_whose_answer_breaks_off_is_not_counted_as_accepted) {
+    m_answers_break_off = true;
+    start_host("a");
+    advance(milliseconds(1000));
+    set_engines("a", 4, 0, 1);
+    advance_until_orders(1);
+    ASSERT_FALSE(orders().empty());
+    advance(milliseconds(500));
+    const auto metrics = m_hosts["a"].process->find<metrics_registry>(metrics_service_name());
+    EXPECT_EQ(metrics.value()->counter(metric_name("parsleypitch_orders_total"), {{"accepted", "1"}}), 0U);
+}
+
 // Guards against orders of two successive holders that are closer together than the platform allows.
 TEST_F(serving_roles_fixture, next_holder_after_a_stop_waits_for_the_holder_pause) {
     start_host("a");
--- a/tests/unit-serving-scaling.cpp
+++ b/tests/unit-serving-scaling.cpp
@@ -61,6 +61,14 @@
             m_unanswered.push_back(exchange);
             return;
         }
+        if (m_broken_answers > 0) {
+            --m_broken_answers;
+            http::response_head head;
+            head.status = 200;
+            exchange->begin(head);
+            exchange->abort();
+            return;
+        }
         http::response answer;
         answer.head.status = m_refusals > 0 ? 429 : 200;
         m_refusals -= m_refusals > 0 ? 1 : 0;
@@ -198,6 +206,7 @@
     std::vector<received_order> m_orders;
     std::vector<std::shared_ptr<http::exchange>> m_unanswered;
     int m_refusals = 0;
+    int m_broken_answers = 0;
     std::atomic<bool> m_mute = false;
     std::atomic<double> m_demand = 0;
     std::atomic<bool> m_garbled = false;
@@ -239,6 +248,15 @@
     EXPECT_EQ(orders().back().desired, 5U);
 }
 
+// Guards against an order that counts as accepted although its answer broke off.
+TEST_F(serving_scaling_fixture, order_whose_answer_breaks_off_is_not_counted_as_accepted) {
+    m_broken_answers = 1;
+    configure(5, 12);
+    const auto metrics = m_holder.find<metrics_registry>(metrics_service_name()).value();
+    const metric_name answered("parsleypitch_scaling_orders_total");
+    ASSERT_TRUE(eventually([&] { return metrics->counter(answered, {{"accepted", "0"}}) == 1; }));
+}
+
 // Guards against queries and orders in deployments without scaling limits.
 TEST_F(serving_scaling_fixture, holder_without_scaling_limits_asks_and_orders_nothing) {
     std::this_thread::sleep_for(seconds(3));
