Test a real host under answers with broken heads

Engines of the soak can answer with a broken head: the status 0 or 600, a control byte in the reason, a blank or a control byte in a field name, each with a seal and a body that is not the request's. A real host in front of such engines passes none on, and each call gets a complete answer, some 502.

--- a/soak/engine_stand_in.cpp
+++ b/soak/engine_stand_in.cpp
@@ -43,6 +43,22 @@
     return {{std::string(names::attempt_id), id.str()}, {std::string(names::seal), "sealed"}};
 }
 
+/// Heads that are no valid HTTP.
+std::vector<http::response_head> broken_heads(const request_id& id) {
+    constexpr unsigned status_above_all = 600;
+    std::vector<http::response_head> heads(5);
+    for (http::response_head& head : heads) {
+        head.status = status_ok;
+        head.headers = sealed(id);
+    }
+    heads[0].status = 0;
+    heads[1].status = status_above_all;
+    heads[2].reason = "O\x01K";
+    heads[3].headers.add("Blank In Name", "1");
+    heads[4].headers.add("Control\x01In-Name", "1");
+    return heads;
+}
+
 std::uint64_t number_or(const std::string& text, std::uint64_t fallback) {
     return text.empty() ? fallback : std::stoull(text);
 }
@@ -295,9 +311,20 @@
             });
     }
 
+    /// Answers with a broken head and a whole body that is not the request's.
+    void answer_with_broken_head(const active_request_ptr& active) {
+        const std::vector<http::response_head> heads = broken_heads(active->request->id);
+        finish(active, 0);
+        active->exchange->begin(heads[dependencies.random(heads.size())]);
+        active->exchange->write("broken");
+        active->exchange->end();
+    }
+
     void answer_plain(const active_request_ptr& active) {
         const request_id& id = active->request->id;
-        if (occurs(condition.lost_answer_percent)) {
+        if (occurs(condition.broken_head_percent)) {
+            answer_with_broken_head(active);
+        } else if (occurs(condition.lost_answer_percent)) {
             finish(active, 0);
             active->exchange->abort();
         } else if (occurs(condition.foreign_answer_percent)) {
@@ -334,6 +361,10 @@
             respond(active->exchange, status_failed, "failed", sealed(active->request->id));
             return;
         }
+        if (occurs(condition.broken_head_percent)) {
+            answer_with_broken_head(active);
+            return;
+        }
         http::response_head head;
         head.status = status_ok;
         head.headers = sealed(active->request->id);
--- a/soak/engine_stand_in.hpp
+++ b/soak/engine_stand_in.hpp
@@ -43,6 +43,8 @@
     std::uint64_t slowdown_factor = 1;
     /// @brief Time that refusals ask the host to stay away; zero if they name none.
     duration retry_after{0};
+    /// @brief Answers whose start line or header section is no valid HTTP.
+    std::uint64_t broken_head_percent = 0;
 };
 
 /// @brief KV caches that engines hold for import by other engines: the request of each, keyed by
--- a/tests/unit-soak-processes.cpp
+++ b/tests/unit-soak-processes.cpp
@@ -167,6 +167,32 @@
     EXPECT_GE(static_cast<double>(served), 0.9 * static_cast<double>(streams));
 }
 
+// Guards against answers whose head is broken and that callers get, or wait for until their deadline.
+TEST_F(serve_process_fixture, host_passes_on_no_answer_with_a_broken_head) {
+    constexpr unsigned bad_gateway = 502;
+    constexpr std::uint64_t broken_percent = 30;
+    m_plan.entry_hosts = 1;
+    start();
+    m_traffic->run([](soak_traffic::testbed& bed) {
+        for (const auto& engine : bed.engines) {
+            engine->set({.broken_head_percent = broken_percent});
+        }
+    });
+    wait(milliseconds(4000));
+    EXPECT_EQ(finish(), "");
+    std::size_t bad_gateways = 0;
+    m_traffic->run([&](soak_traffic::testbed& bed) {
+        for (const auto& [id, request] : bed.observed.requests) {
+            if (request.kind == request_kind::stream || request.caller_disconnected_at) {
+                continue;
+            }
+            ASSERT_TRUE(request.answer && request.answer->complete) << id.str();
+            bad_gateways += request.answer->status == bad_gateway ? 1 : 0;
+        }
+    });
+    EXPECT_GT(bad_gateways, 0U);
+}
+
 /// A seed whose run has failed before, with the cause.
 struct regression_seed {
     std::uint64_t seed = 0;
