Test that responses are judged alike however their bytes arrive

Each sample of a broken or valid response is parsed in pieces of 1, 2, 7 and 100 bytes and at once, with the same verdict and body.

--- a/tests/unit-broken-responses.cpp
+++ b/tests/unit-broken-responses.cpp
@@ -55,6 +55,50 @@
 INSTANTIATE_TEST_SUITE_P(kinds, sound_response_fixture, testing::ValuesIn(sound_responses()),
                          [](const auto& sample) { return sample.param.name; });
 
+/// Parses samples that arrive in pieces.
+class split_response_fixture : public testing::TestWithParam<response_sample> {
+  protected:
+    /// Feeds the bytes in pieces and then the end of the connection.
+    /// @return the body, or nothing if the response was refused
+    static std::optional<std::string> body_of(const std::string& bytes, std::size_t piece) {
+        auto parser = std::make_unique<response_parser>(message_limits{});
+        std::string unconsumed;
+        std::string body;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            unconsumed.append(bytes, at, piece);
+            while (!unconsumed.empty()) {
+                const auto consumed = parser->parse(unconsumed);
+                if (!consumed) {
+                    return std::nullopt;
+                }
+                unconsumed.erase(0, consumed.value());
+                body += parser->take_body();
+                const bool is_interim = parser->complete() && parser->head().status < 200;
+                if (is_interim) {
+                    parser = std::make_unique<response_parser>(message_limits{});
+                } else if (consumed.value() == 0 || parser->complete()) {
+                    break;
+                }
+            }
+        }
+        const bool ended = parser->complete() || (parser->head_complete() && parser->parse_end().has_value());
+        return ended ? std::optional(body) : std::nullopt;
+    }
+};
+
+// Guards against a verdict that depends on how the bytes of a response arrive.
+TEST_P(split_response_fixture, sample_that_arrives_in_pieces_is_judged_as_a_whole) {
+    const auto expected = body_of(GetParam().bytes, GetParam().bytes.size() + 1);
+    for (const std::size_t piece : {1U, 2U, 7U, 100U}) {
+        EXPECT_EQ(body_of(GetParam().bytes, piece), expected) << piece;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(broken, split_response_fixture, testing::ValuesIn(broken_responses()),
+                         [](const auto& sample) { return sample.param.name; });
+INSTANTIATE_TEST_SUITE_P(sound, split_response_fixture, testing::ValuesIn(sound_responses()),
+                         [](const auto& sample) { return sample.param.name; });
+
 class field_name_fixture : public testing::Test {};
 
 // Guards against a byte in a field name that no token has.
