Wait for a queued failure of the write before a body counts as ended

A trace of its system calls shows the order: epoll reports the reset while the completion of the previous write is queued; that completion sends again and takes ECONNRESET, so that its own completion is queued behind the event, whose read then sees the end first.

Fix: the end of a connection is judged in a handler that is posted after the read. A write that took the error did so before the read, so its completion is ahead of that handler.

interrupted_upload_fixture resets the connection after 0 to 39 handlers of the event loop.

The harness of the forwarder tests drops timers and calls that are left at the end of a test; AddressSanitizer reported the cycles between them.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -217,7 +217,8 @@
         return;
     }
     if (code == asio::error::eof) {
-        on_connection_end();
+        // The completion of a write that failed before this read may still be queued.
+        asio::post(*m_owner->context, [self = shared_from_this()] { self->on_connection_end(); });
         return;
     }
     if (code) {
@@ -231,6 +232,9 @@
 }
 
 void client_connection::on_connection_end() {
+    if (m_closed) { // the call was cancelled meanwhile
+        return;
+    }
     if (!is_orderly_end()) {
         fail_broken(response_fault::connection_lost, m_write_failure.message());
         return;
--- a/tests/forwarder_harness.hpp
+++ b/tests/forwarder_harness.hpp
@@ -99,6 +99,18 @@
                                                   m_log, m_metrics);
     }
 
+    /// Timers that did not fire and calls without a response refer to each other.
+    void TearDown() override {
+        for (const auto& timer : m_timers) {
+            const auto unused = std::exchange(timer->task, nullptr);
+        }
+        for (const auto& calls : {m_calls, m_cache_queries, m_start_queries}) {
+            for (const auto& call : calls) {
+                call->hooks = {};
+            }
+        }
+    }
+
     /// Records a call; other fixtures send it.
     virtual http::call_handle start_call(const endpoint& to, std::string bytes, http::call_options options,
                                          http::call_hooks call) {
--- a/tests/unit-broken-responses.cpp
+++ b/tests/unit-broken-responses.cpp
@@ -163,6 +163,31 @@
     EXPECT_TRUE(outcome().ends_with(" backend_broken ")) << m_events;
 }
 
+class interrupted_upload_fixture : public http_client_fixture {};
+
+// Guards against a verdict that depends on what the event loop has done when the reset arrives: the read may
+// see the end of the connection before the failure of the write is known.
+TEST_F(interrupted_upload_fixture, body_without_length_fails_whenever_the_reset_arrives) {
+    constexpr std::size_t upload_size = 16'000'000;
+    constexpr int most_handlers = 40;
+    for (int handlers = 0; handlers < most_handlers; ++handlers) {
+        m_events.clear();
+        start("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(upload_size) + "\r\n\r\n" +
+              std::string(upload_size, 'x'));
+        run_until({"sent "});
+        tcp::socket server_side = accept();
+        send(server_side, "HTTP/1.1 200 OK\r\n\r\npart");
+        m_context.restart();
+        for (int done = 0; done < handlers; ++done) {
+            m_context.poll_one();
+        }
+        server_side.set_option(asio::socket_base::linger(true, 0));
+        server_side.close();
+        run_until({"end ", "backend_"});
+        EXPECT_TRUE(m_events.ends_with(" backend_broken ")) << handlers << ": " << m_events;
+    }
+}
+
 // Guards against refusing a response that a server ends before it has read the request.
 TEST_F(early_response_fixture, body_without_length_that_ends_with_a_shutdown_is_delivered) {
     send(m_server_side, "HTTP/1.1 200 OK\r\n\r\nok");
--- a/tests/unit-forwarder-broken-responses.cpp
+++ b/tests/unit-forwarder-broken-responses.cpp
@@ -21,6 +21,7 @@
         adopt_fleet();
     }
     void TearDown() override {
+        forwarder_harness::TearDown();
         ::close(m_pipe[0]);
         ::close(m_pipe[1]);
     }
