--- a/tests/unit-forwarder-broken-responses.cpp
+++ b/tests/unit-forwarder-broken-responses.cpp
@@ -43,7 +43,7 @@
     /// Sends a request and runs it to its final response.
     std::shared_ptr<recorded_exchange> call(const std::string& target,
                                             const std::vector<http::header_field>& extra = {}) {
-        const auto exchange = send(target, extra);
+        auto exchange = send(target, extra);
         constexpr seconds patience{5};
         const time_point give_up = std::chrono::steady_clock::now() + patience;
         while (exchange->final_responses == 0 && std::chrono::steady_clock::now() < give_up) {
