Read the change anew: one reader, one counter, stricter tests

Reasons: count_broken_response also counts broken answers to orders and usage reports; the name of the fault stands in each description, and so in the caller's 502, in the log of agents and of the control calls. Attempts that were not sent name their reason too.

Once instead of twice: nothing_was_sent (also in the store client and the soak), get, the end of samples. A constant that repeated its default is gone; the names and comments of response_fault say what each value is.

Tests: streams without a whole event must get 502, not 502 or an abort; both attempts at a repeatable call broken give 502; each sample leads to a repeat of a resumable stream; one attempt counted as broken; agents send a call once; whole early answers through whole requests.

--- a/bench/http_calls.cpp
+++ b/bench/http_calls.cpp
@@ -1,36 +1,31 @@
 #include "http_calls.hpp"
 
-#include <httplib.h>
+#include "net/blocking_http_client.hpp"
 
 namespace parsleypitch::bench {
 
 namespace {
 
-constexpr int connect_timeout_seconds = 2;
-constexpr int read_timeout_seconds = 10;
+constexpr net::http_timeouts timeouts{milliseconds(2000), milliseconds(10'000)};
+constexpr unsigned first_success = 200;
+constexpr unsigned last_success = 299;
 
-httplib::Client client_for(const endpoint& to) {
-    httplib::Client client("http://" + to.str());
-    client.set_connection_timeout(connect_timeout_seconds);
-    client.set_read_timeout(read_timeout_seconds);
-    return client;
-}
-
-result<std::string> body_of(const httplib::Result& answer, const std::string& place) {
+result<std::string> body_of(const result<http::response>& answer, const std::string& place) {
     if (!answer) {
-        return fail(errc::backend_unreachable, place + ": " + httplib::to_string(answer.error()));
+        return fail(errc::backend_unreachable, place + ": " + answer.error().detail);
     }
-    if (answer->status < 200 || answer->status > 299) {
+    const http::response& response = answer.value();
+    if (response.head.status < first_success || response.head.status > last_success) {
         return fail(errc::backend_refused,
-                    place + ": status " + std::to_string(answer->status) + ": " + answer->body);
+                    place + ": status " + std::to_string(response.head.status) + ": " + response.body);
     }
-    return answer->body;
+    return response.body;
 }
 
 } // namespace
 
 result<std::string> get_text(const endpoint& from, const std::string& path) {
-    return body_of(client_for(from).Get(path), from.str() + path);
+    return body_of(net::blocking_http_client(from, timeouts).get(path), from.str() + path);
 }
 
 result<nlohmann::json> get_json(const endpoint& from, const std::string& path) {
@@ -46,7 +41,9 @@
 }
 
 result<void> post_json(const endpoint& to, const std::string& path, const nlohmann::json& body) {
-    auto text = body_of(client_for(to).Post(path, body.dump(), "application/json"), to.str() + path);
+    net::blocking_http_client client(to, timeouts);
+    const auto answer = client.call({"POST", path, {{"Content-Type", "application/json"}}, body.dump()});
+    const auto text = body_of(answer, to.str() + path);
     if (!text) {
         return text.error();
     }
--- a/include/parsleypitch/http/response_fault.hpp
+++ b/include/parsleypitch/http/response_fault.hpp
@@ -9,8 +9,11 @@
 namespace parsleypitch::http {
 
 /// @brief What is wrong with a response that must not be passed on.
+///
+/// The HTTP client finds the faults up to `connection_lost`, by RFC 9110 and RFC 9112. The forwarder finds
+/// the others in responses that are valid HTTP.
 enum class response_fault {
-    // The bytes are no valid HTTP response (RFC 9110, RFC 9112).
+    /// The start line is invalid, or its status is one that no response to this system may have.
     malformed_status_line,
     malformed_field,
     /// The length or the transfer coding of the body is invalid, contradictory or unknown.
@@ -18,19 +21,21 @@
     malformed_chunk,
     header_too_large,
     body_too_large,
-    /// More responses than a server in order sends belong to other requests.
+    /// Too many responses on the connection belong to other requests.
     too_many_unrelated,
-    // The response ends before it is complete.
-    /// The connection was closed by the server.
+    /// The server closed the connection before the end of the response.
     incomplete,
-    /// The connection was reset or no longer acknowledges bytes.
+    /// The connection was reset, or the server no longer acknowledges bytes.
     connection_lost,
-    // The response is valid HTTP but not what a backend server sends.
+    /// A success lacks the field by which a backend server marks its own responses.
     unsealed,
+    /// The rest of a resumed stream has another content type than its beginning.
     content_type_changed,
+    /// Events of a stream are missing.
     event_gap,
     event_without_id,
     event_too_large,
+    /// A stream ends within an event.
     incomplete_event,
     /// The responses of all servers together need more memory than this process has for them.
     memory_limit,
@@ -45,6 +50,9 @@
     std::optional<response_fault> fault = std::nullopt;
 };
 
+/// @brief Whether a failed call proves that no byte of its request was sent.
+[[nodiscard]] bool nothing_was_sent(const error& why);
+
 /// @brief Name of a failure: its fault, or its error code if it has none.
 [[nodiscard]] std::string failure_reason(const call_failure& why);
 
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -206,9 +206,7 @@
         hooks.body = [made](const std::string& part) { made->answer.body += part; };
         hooks.end = [made] { finish(made, true); };
         hooks.failed = [made](const error& why) {
-            made->answer.unsent = why.code == errc::backend_unreachable ||
-                                  why.code == errc::backend_not_listening ||
-                                  why.code == errc::backend_overloaded;
+            made->answer.unsent = http::nothing_was_sent(why);
             finish(made, false);
         };
         http::call_options options;
--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -105,6 +105,7 @@
         if (const auto* refused = std::get_if<refusal>(&event.event)) {
             m_metrics->count(metric_name("parsleypitch_backend_failures_total"),
                              {{"reason", reason_name(refused->cause.code)}});
+            LOG(WARNING) << "agent: request " << request.id << " failed: " << to_string(refused->cause);
             m_monitor->request_poll();
         }
         return emit(event);
--- a/src/agent/engine_backend.cpp
+++ b/src/agent/engine_backend.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace parsleypitch {
@@ -140,9 +141,9 @@
         sink.head = [&reader](const http::response_head& head) { reader.set_status(head.status); };
         sink.body = [&reader](const std::string& part) { return reader.append(part); };
         // Each stream has its own connection, because the engine may end a broken stream by closing it.
-        const auto read = m_streams->make_client()->call(
+        const result<void> outcome = m_streams->make_client()->call(
             json_request("/v1/generate", generate_body(request, work)), std::move(sink));
-        finish(request, emit, reader, read);
+        finish(request, emit, reader, outcome);
     }
 
     result<backend_status> poll() {
@@ -191,7 +192,7 @@
     }
 
     result<std::string> read(net::blocking_http_client& client, const std::string& path) const {
-        auto answer = client.call({"GET", path, {}, ""});
+        auto answer = client.get(path);
         if (!answer || answer.value().head.status != status_ok) {
             return fail(errc::backend_unreachable, m_engine.str());
         }
@@ -199,26 +200,26 @@
     }
 
     /// Emits the last event of an attempt.
-    /// @param read whether the response is complete, or was left early by the reader
+    /// @param outcome success if the response is complete or the reader stopped reading it
     void finish(const execute_request& request, const event_sink& emit, const generate_reader& reader,
-                const result<void>& read) {
+                const result<void>& outcome) {
         if (reader.caller_gone()) {
             cancel(request);
             return;
         }
-        if (read && reader.end()) {
+        if (outcome && reader.end()) {
             (void)emit(*reader.end());
             return;
         }
-        (void)emit({request.id, request.attempt, refusal_of(reader, read), {}});
+        (void)emit({request.id, request.attempt, refusal_of(reader, outcome), {}});
     }
 
-    refusal refusal_of(const generate_reader& reader, const result<void>& read) const {
-        if (!read && net::nothing_was_sent(read.error())) {
-            return {fail(errc::backend_unreachable, read.error().detail), run_state::not_run, {}};
+    refusal refusal_of(const generate_reader& reader, const result<void>& outcome) const {
+        if (!outcome && http::nothing_was_sent(outcome.error())) {
+            return {fail(errc::backend_unreachable, outcome.error().detail), run_state::not_run, {}};
         }
-        if (!read) {
-            return {fail(errc::backend_broken, read.error().detail), run_state::ran, {}};
+        if (!outcome) {
+            return {fail(errc::backend_broken, outcome.error().detail), run_state::ran, {}};
         }
         if (reader.status() != status_ok) {
             return refusal_of_status(reader.status(), reader.unparsed());
--- a/src/agent/plain_service_backend.cpp
+++ b/src/agent/plain_service_backend.cpp
@@ -35,7 +35,7 @@
     }
 
     result<backend_status> poll() {
-        const auto answer = m_pool->acquire()->call({"GET", "/v1/load", {}, ""});
+        const auto answer = m_pool->acquire()->get("/v1/load");
         if (!answer || answer.value().head.status != status_ok) {
             return fail(errc::backend_unreachable, m_target.str());
         }
@@ -55,7 +55,7 @@
     decltype(execute_event::event) make_event(const execute_request& request, const call_work& work,
                                               const result<http::response>& answer) const {
         if (!answer) {
-            const bool not_sent = net::nothing_was_sent(answer.error());
+            const bool not_sent = http::nothing_was_sent(answer.error());
             return refusal{
                 fail(not_sent ? errc::backend_unreachable : errc::backend_broken, answer.error().detail),
                 not_sent ? run_state::not_run : run_state::outcome_unknown,
--- a/src/cli/config_command.cpp
+++ b/src/cli/config_command.cpp
@@ -199,7 +199,7 @@
 
 result<std::string> read_health_over_http(const endpoint& host) {
     net::blocking_http_client client(host, {health_timeout, health_timeout});
-    const auto answer = client.call({"GET", "/healthz", {}, ""});
+    const auto answer = client.get("/healthz");
     if (!answer) {
         return fail(errc::agent_unreachable, answer.error().detail);
     }
--- a/src/forwarding/cache_poller.cpp
+++ b/src/forwarding/cache_poller.cpp
@@ -119,7 +119,7 @@
     };
     hooks.failed = [self, state, id](const http::call_failure& why) {
         state->timeout();
-        self->m_shared->note_broken(why);
+        http::count_broken_response(*self->m_shared->metrics, why);
         self->on_query_failed(id, reason_name(why.code));
         self->schedule_query(id);
     };
--- a/src/forwarding/crash_detector.cpp
+++ b/src/forwarding/crash_detector.cpp
@@ -99,7 +99,7 @@
     };
     hooks.failed = [self, shared, state, engine](const http::call_failure& why) {
         state->timeout();
-        shared->note_broken(why);
+        http::count_broken_response(*shared->metrics, why);
         self->on_query_failed(engine, why);
     };
     state->timeout = shared->hooks.start_timer(detail::crash_check_timeout, [self, state, engine] {
--- a/src/forwarding/forwarded_request_ends.cpp
+++ b/src/forwarding/forwarded_request_ends.cpp
@@ -227,7 +227,7 @@
     hooks.body = [](const std::string&) {};
     hooks.end = [] {};
     hooks.failed = [shared = m_shared, id = m_call.id](const http::call_failure& why) {
-        shared->note_broken(why);
+        http::count_broken_response(*shared->metrics, why);
         shared->log->warning("kv_release_failed", {{"request", id}, {"reason", why.detail}});
     };
     http::call_options options;
--- a/src/forwarding/forwarded_request_events.cpp
+++ b/src/forwarding/forwarded_request_events.cpp
@@ -256,6 +256,7 @@
 }
 
 void forwarded_request::on_failed(const http::call_failure& why) {
+    m_attempt->failure = why;
     const bool was_sent = m_attempt->sent;
     const bool is_prefill = m_attempt->stage == attempt_stage::prefill;
     const availability_zone_id zone = m_attempt->server.zone;
@@ -278,8 +279,7 @@
         return;
     }
     note_lost();
-    m_shared->note_broken(why);
-    m_attempt->failure = why;
+    http::count_broken_response(*m_shared->metrics, why);
     finish_attempt(attempt_result::broken);
     after_failure(why, is_prefill ? run_state::not_run : run_state::outcome_unknown);
 }
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -68,12 +68,6 @@
     hooks.report_pending();
 }
 
-void forwarder::state::note_broken(const http::call_failure& why) const {
-    if (why.fault) {
-        count("parsleypitch_broken_responses_total", {{"reason", std::string(to_string(*why.fault))}});
-    }
-}
-
 void forwarder::state::check_held(const backend_service_id& service) {
     dispatcher_of(service).check_soon();
 }
--- a/src/forwarding/forwarder_state.hpp
+++ b/src/forwarding/forwarder_state.hpp
@@ -5,6 +5,7 @@
 #include <parsleypitch/forwarding/crash_quarantine.hpp>
 #include <parsleypitch/forwarding/engine_speed.hpp>
 #include <parsleypitch/forwarding/forwarder.hpp>
+#include <parsleypitch/http/broken_response_count.hpp>
 
 #include <unordered_set>
 
@@ -109,8 +110,6 @@
         return std::max(min_connections_per_server,
                         static_cast<std::size_t>(service.max_connections) / entry_hosts);
     }
-    /// Counts a response that cannot be used, if that is why a call failed.
-    void note_broken(const http::call_failure& why) const;
     void count(const char* metric, const metric_labels& labels) const {
         metrics->count(metric_name(metric), labels);
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -336,7 +336,8 @@
 }
 
 void client_connection::fail_broken(response_fault fault, const std::string& detail) {
-    fail_call(broken_response(fault, m_endpoint.str() + ": " + detail));
+    fail_call(
+        broken_response(fault, m_endpoint.str() + ": " + std::string(to_string(fault)) + ", " + detail));
 }
 
 void client_connection::fail_call(const call_failure& why) {
--- a/src/http/response_fault.cpp
+++ b/src/http/response_fault.cpp
@@ -43,6 +43,11 @@
     return "unknown";
 }
 
+bool nothing_was_sent(const error& why) {
+    return why.code == errc::backend_unreachable || why.code == errc::backend_not_listening ||
+           why.code == errc::backend_overloaded;
+}
+
 std::string failure_reason(const call_failure& why) {
     return why.fault ? std::string(to_string(*why.fault)) : reason_name(why.code);
 }
--- a/src/net/blocking_http_client.cpp
+++ b/src/net/blocking_http_client.cpp
@@ -10,15 +10,12 @@
 
 namespace {
 
-/// A connection that is idle for longer is opened anew.
-constexpr milliseconds max_idle_time{4000};
 /// Largest body that is collected.
 constexpr byte_count max_collected_body{67'108'864};
 
 http::client_limits limits_for(const http_timeouts& timeouts) {
     http::client_limits limits;
     limits.connect_timeout = timeouts.connect;
-    limits.idle_timeout = max_idle_time;
     return limits;
 }
 
@@ -52,6 +49,10 @@
     : m_target(std::move(target)), m_timeouts(timeouts), m_client(m_context, limits_for(timeouts)) {
 }
 
+result<http::response> blocking_http_client::get(std::string path) {
+    return call({"GET", std::move(path), {}, ""});
+}
+
 result<http::response> blocking_http_client::call(http::request message) {
     http::response collected;
     response_sink sink;
@@ -99,9 +100,4 @@
     return state->outcome.value_or(fail(errc::backend_broken, "the call ended without a result"));
 }
 
-bool nothing_was_sent(const error& why) {
-    return why.code == errc::backend_unreachable || why.code == errc::backend_not_listening ||
-           why.code == errc::backend_overloaded;
-}
-
 } // namespace parsleypitch::net
--- a/src/net/blocking_http_client.hpp
+++ b/src/net/blocking_http_client.hpp
@@ -39,6 +39,8 @@
     ///
     /// Fails like `http::call_hooks::failed`, and with `backend_silent` after the read timeout.
     [[nodiscard]] result<http::response> call(http::request message);
+    /// @brief Sends a request with the method GET and collects the response.
+    [[nodiscard]] result<http::response> get(std::string path);
     /// @brief Sends a request and passes the response on. A response that is broken may have been passed on
     /// in part; the call then fails.
     [[nodiscard]] result<void> call(http::request message, response_sink sink);
@@ -54,7 +56,4 @@
     http::client m_client;
 };
 
-/// @brief Whether a failed call proves that no byte of its request was sent.
-[[nodiscard]] bool nothing_was_sent(const error& why);
-
 } // namespace parsleypitch::net
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -69,7 +69,7 @@
 
 /// Error of a call without a response. A write certainly had no effect only if the connection failed.
 error transport_error(const error& why, bool is_write, const std::string& context) {
-    const bool not_sent = net::nothing_was_sent(why);
+    const bool not_sent = http::nothing_was_sent(why);
     const errc code = !is_write || not_sent ? errc::platform_unreachable : errc::platform_answer_lost;
     return fail(code, context + ": " + why.detail);
 }
--- a/src/serving/serving_roles.cpp
+++ b/src/serving/serving_roles.cpp
@@ -1,5 +1,6 @@
 #include "lease/lease_codec.hpp"
 
+#include <parsleypitch/http/broken_response_count.hpp>
 #include <parsleypitch/serving/serving_roles.hpp>
 
 #include <asio/io_context.hpp>
@@ -243,7 +244,8 @@
     hooks.head = [answer](const http::response_head& head) { *answer = head; };
     hooks.body = [](const std::string&) {};
     hooks.end = [self, order, answer] { self->note_answer(order, *answer); };
-    hooks.failed = [self, order](const error& why) {
+    hooks.failed = [self, order](const http::call_failure& why) {
+        http::count_broken_response(*self->m_metrics, why);
         self->m_log->warning("order_unanswered", {{"engine", order.target}, {"reason", why.detail}});
     };
     // Orders use a new connection: on a reused one an order could be delayed behind a blocked write.
--- a/src/serving/serving_scaling.cpp
+++ b/src/serving/serving_scaling.cpp
@@ -1,5 +1,6 @@
 #include "serving/engine_demand_codec.hpp"
 
+#include <parsleypitch/http/broken_response_count.hpp>
 #include <parsleypitch/serving/serving_scaling.hpp>
 
 #include <asio/io_context.hpp>
@@ -234,7 +235,8 @@
                                                {"term", order.term}});
         end(accepted);
     };
-    hooks.failed = [self, order, end](const error& why) {
+    hooks.failed = [self, order, end](const http::call_failure& why) {
+        http::count_broken_response(*self->m_metrics, why);
         self->m_log->warning("scaling_unanswered", {{"service", order.service},
                                                     {"zone", order.zone},
                                                     {"desired", order.desired},
--- a/src/serving/serving_usage.cpp
+++ b/src/serving/serving_usage.cpp
@@ -1,3 +1,4 @@
+#include <parsleypitch/http/broken_response_count.hpp>
 #include <parsleypitch/serving/drain_schedule.hpp>
 #include <parsleypitch/serving/serving_usage.hpp>
 
@@ -465,7 +466,10 @@
     hooks.head = [self](const http::response_head& head) { self->m_send->status = head.status; };
     hooks.body = [](const std::string&) {};
     hooks.end = [self] { self->end_send(self->m_send->status == status_ok, ""); };
-    hooks.failed = [self](const error& why) { self->end_send(false, why.detail); };
+    hooks.failed = [self](const http::call_failure& why) {
+        http::count_broken_response(*self->m_metrics, why);
+        self->end_send(false, why.detail);
+    };
     // A new connection: on a reused one a report could be delayed behind a blocked write.
     http::call_options options;
     options.max_idle_time = duration::zero();
--- a/standins/peer_call.cpp
+++ b/standins/peer_call.cpp
@@ -1,8 +1,6 @@
 #include "peer_call.hpp"
 
-#include <parsleypitch/core/units.hpp>
-
-#include <httplib.h>
+#include "net/blocking_http_client.hpp"
 
 namespace parsleypitch::standins {
 
@@ -10,28 +8,18 @@
 
 namespace {
 
-constexpr seconds peer_timeout{2};
-
-httplib::Client client_of(const endpoint& peer) {
-    const std::size_t colon = peer.str().rfind(':');
-    if (colon == std::string::npos) {
-        return httplib::Client(peer.str());
-    }
-    return httplib::Client(peer.str().substr(0, colon), std::stoi(peer.str().substr(colon + 1)));
-}
+constexpr milliseconds peer_timeout{2000};
+constexpr unsigned status_ok = 200;
 
 } // namespace
 
 std::optional<json> post_json(const endpoint& peer, const char* path, const json& body) {
-    httplib::Client client = client_of(peer);
-    client.set_connection_timeout(peer_timeout);
-    client.set_read_timeout(peer_timeout);
-    client.set_tcp_nodelay(true);
-    const auto answer = client.Post(path, body.dump(), "application/json");
-    if (!answer || answer->status != 200) {
+    net::blocking_http_client client(peer, {peer_timeout, peer_timeout});
+    const auto answer = client.call({"POST", path, {{"Content-Type", "application/json"}}, body.dump()});
+    if (!answer || answer.value().head.status != status_ok) {
         return std::nullopt;
     }
-    json parsed = json::parse(answer->body, nullptr, false);
+    json parsed = json::parse(answer.value().body, nullptr, false);
     return parsed.is_object() ? std::optional(std::move(parsed)) : std::nullopt;
 }
 
--- a/tests/response_samples.hpp
+++ b/tests/response_samples.hpp
@@ -12,6 +12,8 @@
 /// What a stand-in does with its connection after the bytes of a sample.
 enum class connection_end {
     kept_open,
+    /// Closed for sending; what the client sends is no longer read.
+    shut_down,
     closed,
     reset,
 };
@@ -68,6 +70,13 @@
     return samples;
 }
 
+inline std::vector<response_sample> with_end(connection_end end, std::vector<response_sample> samples) {
+    for (response_sample& sample : samples) {
+        sample.end = end;
+    }
+    return samples;
+}
+
 inline void append(std::vector<response_sample>& to, std::vector<response_sample> samples) {
     to.insert(to.end(), samples.begin(), samples.end());
 }
@@ -208,10 +217,7 @@
         {"chunks_cut_in_the_trailer_section", chunked + "2\r\nok\r\n0\r\nX-Name: 1\r\n"},
         {"chunks_without_the_final_line_end", chunked + "2\r\nok\r\n0\r\n"},
     };
-    for (response_sample& sample : samples) {
-        sample.end = connection_end::closed;
-    }
-    return samples;
+    return detail::with_end(connection_end::closed, std::move(samples));
 }
 
 /// Responses whose connection is reset before they are complete.
@@ -225,10 +231,7 @@
         {"body_without_a_length_cut_by_a_reset", sample_head(status_line, "") + sample_body},
         {"chunks_cut_by_a_reset", sample_head(status_line, "Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n"},
     };
-    for (response_sample& sample : samples) {
-        sample.end = connection_end::reset;
-    }
-    return samples;
+    return detail::with_end(connection_end::reset, std::move(samples));
 }
 
 /// All responses that must not reach a caller.
--- a/tests/sample_server.hpp
+++ b/tests/sample_server.hpp
@@ -63,9 +63,9 @@
                 ++m_requests;
                 asio::write(socket, asio::buffer(m_sample.bytes), ended);
             }
-            if (m_sample.end == connection_end::reset) {
-                // The client reads the bytes before the reset arrives.
-                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            if (m_sample.end == connection_end::shut_down) {
+                socket.shutdown(tcp::socket::shutdown_send, ended);
+            } else if (m_sample.end == connection_end::reset) {
                 socket.set_option(asio::socket_base::linger(true, 0), ended);
                 socket.close(ended); // the destructor would not reset the connection
             }
--- a/tests/unit-agent-broken-responses.cpp
+++ b/tests/unit-agent-broken-responses.cpp
@@ -47,6 +47,9 @@
                                     << std::get<plain_answer>(event.event).body;
         EXPECT_EQ(refused->cause.code, errc::backend_broken);
         EXPECT_EQ(refused->ran, run_state::outcome_unknown);
+        EXPECT_NE(refused->cause.detail.find(to_string(GetParam().fault)), std::string::npos)
+            << refused->cause.detail;
+        EXPECT_EQ(server.requests(), 1);
     }
 }
 
--- a/tests/unit-forwarder-broken-responses.cpp
+++ b/tests/unit-forwarder-broken-responses.cpp
@@ -10,6 +10,9 @@
 
 namespace parsleypitch {
 
+/// Two whole events of a stream.
+const std::string two_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
 /// A forwarder that sends its attempts to stand-ins over real connections.
 class forwarder_over_http_fixture : public forwarder_harness {
   protected:
@@ -75,6 +78,9 @@
         return reasons;
     }
     static response_sample sound_sample() { return sound_responses().front(); }
+    static response_sample sound_stream() {
+        return {"stream", detail::sample_head("HTTP/1.1 200 OK", "") + two_events, connection_end::closed};
+    }
 
     std::array<int, 2> m_pipe{};
     asio::io_context m_context{1};
@@ -97,6 +103,7 @@
     EXPECT_EQ(body["error"]["run_state"], "outcome unknown");
     EXPECT_EQ(m_attempts, 1U);
     EXPECT_EQ(broken_responses_counted(GetParam().fault), 1U);
+    EXPECT_EQ(m_metrics->counter(metric_name("parsleypitch_attempts_total"), {{"result", "broken"}}), 1U);
     EXPECT_EQ(logged_reasons(), std::vector<std::string>{std::string(to_string(GetParam().fault))});
 }
 
@@ -110,17 +117,38 @@
     EXPECT_EQ(m_attempts, 2U);
 }
 
-// Guards against a stream that begins or ends with a broken response: the caller gets 502, or sees that the
-// stream is incomplete.
-TEST_P(forwarder_broken_response_fixture, stream_fails_or_is_aborted) {
+// Guards against a status that tells the caller that its request did not run, after two servers may have run
+// it.
+TEST_P(forwarder_broken_response_fixture, call_that_may_be_repeated_gets_502_after_its_last_attempt) {
+    expect_attempt(GetParam());
+    expect_attempt(GetParam());
+    const auto exchange = call("/again/");
+    EXPECT_EQ(exchange->status, 502U);
+    EXPECT_EQ(nlohmann::json::parse(exchange->body)["error"]["run_state"], "outcome unknown");
+    EXPECT_EQ(m_attempts, 2U);
+    EXPECT_EQ(broken_responses_counted(GetParam().fault), 2U);
+}
+
+// Guards against a stream that begins although its response is broken before the first whole event.
+TEST_P(forwarder_broken_response_fixture, stream_without_a_whole_event_gets_502) {
     expect_attempt(GetParam());
     const auto exchange = call("/single/", {{"prompt", "10"}});
     EXPECT_EQ(exchange->final_responses, 1);
-    EXPECT_FALSE(exchange->ended);
-    EXPECT_TRUE(exchange->aborted || exchange->status == 502U) << exchange->status;
+    EXPECT_FALSE(exchange->streaming);
+    EXPECT_EQ(exchange->status, 502U);
     EXPECT_EQ(broken_responses_counted(GetParam().fault), 1U);
 }
 
+// Guards against a stream that fails although another engine can send it.
+TEST_P(forwarder_broken_response_fixture, stream_that_may_be_repeated_is_sent_by_the_next_engine) {
+    expect_attempt(GetParam());
+    expect_attempt(sound_stream());
+    const auto exchange = call("/resume/", {{"prompt", "10"}});
+    EXPECT_TRUE(exchange->ended);
+    EXPECT_EQ(exchange->status, 200U);
+    EXPECT_EQ(exchange->body, two_events);
+}
+
 INSTANTIATE_TEST_SUITE_P(kinds, forwarder_broken_response_fixture, testing::ValuesIn(broken_responses()),
                          [](const auto& sample) { return sample.param.name; });
 
@@ -139,9 +167,6 @@
 INSTANTIATE_TEST_SUITE_P(kinds, forwarder_sound_response_fixture, testing::ValuesIn(sound_responses()),
                          [](const auto& sample) { return sample.param.name; });
 
-/// Two whole events of a stream.
-const std::string two_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-
 class forwarder_broken_stream_fixture : public forwarder_over_http_fixture,
                                         public testing::WithParamInterface<response_sample> {};
 
@@ -217,6 +242,24 @@
     EXPECT_EQ(logged_reasons(), std::vector<std::string>{"connection_lost"});
 }
 
+// Guards against refusing an early answer because the server does not read the rest of the request.
+TEST_F(forwarder_early_response_fixture, whole_body_before_a_reset_is_delivered) {
+    expect_attempt({"whole", sound_sample().bytes, connection_end::reset}, response_time::early);
+    const auto exchange = upload("/once/");
+    EXPECT_EQ(exchange->status, 200U);
+    EXPECT_EQ(exchange->body, sample_body);
+}
+
+// Guards against refusing an early answer without a length whose end the server announces.
+TEST_F(forwarder_early_response_fixture, body_without_length_before_a_shutdown_is_delivered) {
+    expect_attempt(
+        {"ended", detail::sample_head("HTTP/1.1 200 OK", "") + sample_body, connection_end::shut_down},
+        response_time::early);
+    const auto exchange = upload("/once/");
+    EXPECT_EQ(exchange->status, 200U);
+    EXPECT_EQ(exchange->body, sample_body);
+}
+
 // Guards against the incident on a route whose requests may be repeated.
 TEST_F(forwarder_early_response_fixture, part_of_a_body_before_a_reset_leads_to_a_repeat) {
     expect_attempt(part_before_a_reset(), response_time::early);
--- a/tests/unit-serving-roles.cpp
+++ b/tests/unit-serving-roles.cpp
@@ -264,6 +264,9 @@
     advance(milliseconds(500));
     const auto metrics = m_hosts["a"].process->find<metrics_registry>(metrics_service_name());
     EXPECT_EQ(metrics.value()->counter(metric_name("parsleypitch_orders_total"), {{"accepted", "1"}}), 0U);
+    EXPECT_GT(metrics.value()->counter(metric_name("parsleypitch_broken_responses_total"),
+                                       {{"reason", "incomplete"}}),
+              0U);
 }
 
 // Guards against orders of two successive holders that are closer together than the platform allows.
--- a/tests/unit-serving-scaling.cpp
+++ b/tests/unit-serving-scaling.cpp
@@ -255,6 +255,8 @@
     const auto metrics = m_holder.find<metrics_registry>(metrics_service_name()).value();
     const metric_name answered("parsleypitch_scaling_orders_total");
     ASSERT_TRUE(eventually([&] { return metrics->counter(answered, {{"accepted", "0"}}) == 1; }));
+    EXPECT_EQ(
+        metrics->counter(metric_name("parsleypitch_broken_responses_total"), {{"reason", "incomplete"}}), 1U);
 }
 
 // Guards against queries and orders in deployments without scaling limits.
